--- /dev/null
+++ b/Makefile
@@ -0,0 +1,63 @@
+# Routine tasks. Every target sets up the virtual environment first.
+SHELL := /bin/bash
+VENV ?= .venv
+PY := $(VENV)/bin/python
+LIBS := $(wildcard libs/*)
+empty :=
+space := $(empty) $(empty)
+SRC := $(subst $(space),:,$(patsubst %,$(CURDIR)/%/src,$(LIBS)))
+TESTS := $(subst $(space),:,$(patsubst %,$(CURDIR)/%/tests,$(LIBS)))
+export PYTHONPATH := $(SRC)
+export PYTHONWARNINGS := ignore::DeprecationWarning:eventlet
+SECONDS ?= 60
+LIB ?=
+
+.PHONY: help setup test test-one lint format types schema demo faults measure slopes soak run-tool
+
+help:  ## List the targets.
+	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q -r requirements-dev.txt
+	touch $@
+
+setup: $(VENV)/.ready  ## Create the virtual environment with the pinned libraries.
+
+test: setup  ## Run all tests.
+	$(PY) tools/run_tests.py $(LIBS)
+
+test-one: setup  ## Run the tests of one library: make test-one LIB=view
+	$(PY) tools/run_tests.py libs/$(LIB)
+
+lint: setup  ## Check formatting and lint rules.
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup  ## Format the code and sort the imports.
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+	$(VENV)/bin/ruff format .
+
+types: setup  ## Check the types.
+	MYPYPATH=$(SRC) $(PY) -m mypy $(foreach l,$(LIBS),-p hornbeamfold.$(notdir $(l)))
+
+schema: setup  ## Generate the protobuf and grpclib code from the schema.
+	$(PY) -m grpc_tools.protoc -Ilibs/rpc/src --python_out=libs/rpc/src --pyi_out=libs/rpc/src \
+	  --plugin=protoc-gen-grpclib_python=$(VENV)/bin/protoc-gen-grpclib_python \
+	  --grpclib_python_out=libs/rpc/src libs/rpc/src/hornbeamfold/rpc/v1.proto
+
+demo: setup  ## Start stand-ins and 8 instances, serve the sample work, print what happened.
+	$(PY) -m hornbeamfold.bench.demo
+
+faults: setup  ## Run the fault matrix and print its table.
+	$(PY) -m hornbeamfold.bench.faults
+
+measure: setup  ## Measure the policy against the baseline; prints JSON.
+	$(PY) -m hornbeamfold.bench.measure
+
+slopes: setup  ## Measure the cost slopes used in docs/CAPACITY.md.
+	$(PY) -m hornbeamfold.bench.slopes
+
+soak: setup  ## Long random run: make soak SECONDS=300 [SEED=n]
+	$(PY) -m hornbeamfold.bench.soak --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
--- /dev/null
+++ b/libs/bench/src/hornbeamfold/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, fault matrix, measurements, slopes and soak."""
--- /dev/null
+++ b/libs/cli/src/hornbeamfold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance."""
--- /dev/null
+++ b/libs/logclient/src/hornbeamfold/logclient/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the log service and the codec of its records."""
--- /dev/null
+++ b/libs/membership/src/hornbeamfold/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live instances, suspicion, ranking and the freshness rule."""
--- /dev/null
+++ b/libs/model/src/hornbeamfold/model/errors.py
@@ -0,0 +1,161 @@
+"""The closed list of error kinds and the answer that belongs to each."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class ErrorKind(StrEnum):
+    """Every reason for which a call can be refused or fail."""
+
+    INVALID = "invalid"
+    UNKNOWN_ORGANISATION = "unknown_organisation"
+    NOT_FOUND = "not_found"
+    DEADLINE_PASSED = "deadline_passed"
+    DUPLICATE_REQUEST = "duplicate_request"
+    INFEASIBLE = "infeasible"
+    GUARANTEE_INFEASIBLE = "guarantee_infeasible"
+    CONFLICT = "conflict"
+    OVERLOADED = "overloaded"
+    LOG_UNAVAILABLE = "log_unavailable"
+    STALE_VIEW = "stale_view"
+    DRAINING = "draining"
+    NO_TARGET = "no_target"
+    CANCELLED = "cancelled"
+    FAILED = "failed"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    UNREACHABLE = "unreachable"
+    INTERNAL = "internal"
+
+
+class Ran(StrEnum):
+    """What a caller may conclude about the execution of its work."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class Answer:
+    """How one error kind is presented to a caller.
+
+    `status` is the gRPC status name, `exit_code` the exit code of the command-line tool.
+    """
+
+    status: str
+    ran: Ran
+    retry: bool
+    exit_code: int
+    advice: str
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.INVALID: Answer(
+        "INVALID_ARGUMENT", Ran.NOT_RUN, False, 2, "Correct the field that is named and send again."
+    ),
+    ErrorKind.UNKNOWN_ORGANISATION: Answer(
+        "NOT_FOUND", Ran.NOT_RUN, False, 3, "Create the organisation first or correct its name."
+    ),
+    ErrorKind.NOT_FOUND: Answer("NOT_FOUND", Ran.NOT_RUN, False, 3, "Check the name or id."),
+    ErrorKind.DEADLINE_PASSED: Answer(
+        "DEADLINE_EXCEEDED", Ran.NOT_RUN, False, 4, "Send again with a later deadline."
+    ),
+    ErrorKind.DUPLICATE_REQUEST: Answer(
+        "ALREADY_EXISTS", Ran.NOT_RUN, False, 5, "Use a new request id for a different body."
+    ),
+    ErrorKind.INFEASIBLE: Answer(
+        "FAILED_PRECONDITION", Ran.NOT_RUN, False, 6, "Ask for a smaller shape or a wider span."
+    ),
+    ErrorKind.GUARANTEE_INFEASIBLE: Answer(
+        "FAILED_PRECONDITION",
+        Ran.NOT_RUN,
+        False,
+        6,
+        "Reduce the guarantees until all fit together.",
+    ),
+    ErrorKind.CONFLICT: Answer(
+        "ABORTED", Ran.NOT_RUN, False, 5, "Read the current version and decide again."
+    ),
+    ErrorKind.OVERLOADED: Answer(
+        "RESOURCE_EXHAUSTED", Ran.NOT_RUN, True, 7, "Send again later or with a later deadline."
+    ),
+    ErrorKind.LOG_UNAVAILABLE: Answer(
+        "UNAVAILABLE", Ran.NOT_RUN, True, 7, "Send again when the log service is back."
+    ),
+    ErrorKind.STALE_VIEW: Answer(
+        "UNAVAILABLE", Ran.NOT_RUN, True, 7, "Send again through another instance."
+    ),
+    ErrorKind.DRAINING: Answer(
+        "UNAVAILABLE", Ran.NOT_RUN, True, 7, "Send again through another instance."
+    ),
+    ErrorKind.NO_TARGET: Answer(
+        "UNAVAILABLE", Ran.NOT_RUN, True, 7, "Bring a zone or a target back, then send again."
+    ),
+    ErrorKind.CANCELLED: Answer("CANCELLED", Ran.NOT_RUN, False, 8, "Nothing more to do."),
+    ErrorKind.FAILED: Answer("ABORTED", Ran.RAN, False, 9, "Read the detail of the failure."),
+    ErrorKind.ANSWER_TOO_LARGE: Answer(
+        "OUT_OF_RANGE", Ran.RAN, False, 9, "The work ran; ask for a smaller answer."
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        "UNKNOWN", Ran.UNKNOWN, False, 10, "Ask for the answer by its id before sending anything."
+    ),
+    ErrorKind.UNREACHABLE: Answer(
+        "UNAVAILABLE", Ran.UNKNOWN, True, 11, "Check the address and the network."
+    ),
+    ErrorKind.INTERNAL: Answer(
+        "INTERNAL", Ran.UNKNOWN, False, 12, "Report this with the log lines of the instance."
+    ),
+}
+
+
+class HornbeamfoldError(Exception):
+    """The one base error; it ends a command or a call and can be shown to a user."""
+
+    def __init__(self, kind: ErrorKind, detail: str) -> None:
+        super().__init__(f"{kind.value}: {detail}")
+        self._kind = kind
+        self._detail = detail
+
+    @property
+    def kind(self) -> ErrorKind:
+        """The kind of this error."""
+        return self._kind
+
+    @property
+    def detail(self) -> str:
+        """What happened, for a person."""
+        return self._detail
+
+
+@dataclass(frozen=True)
+class Refused:
+    """A tagged outcome: the work was refused or failed.
+
+    `ran` overrides the table for this case, for instance when a cancelled request had started.
+    """
+
+    kind: ErrorKind
+    detail: str
+    ran: Ran | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """The table's answer for this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def effective_ran(self) -> Ran:
+        """Whether the work ran, as far as this outcome can say."""
+        return self.ran if self.ran is not None else self.answer.ran
+
+
+@dataclass(frozen=True)
+class Done:
+    """A tagged outcome: the work ran and this is its whole answer."""
+
+    answer: str
+    worker: str = ""
+
+
+Outcome = Done | Refused
--- /dev/null
+++ b/libs/model/src/hornbeamfold/model/timing.py
@@ -0,0 +1,36 @@
+"""Time bounds that several libraries share, in milliseconds."""
+
+# An instance that has not confirmed the log's end within this time starts nothing.
+FRESH_MS = 3_000
+# A peer that was silent for this long is suspected.
+SUSPECT_MS = 1_500
+HEARTBEAT_MS = 500
+# The list of instances may lag by this much; a joining instance waits for it.
+JOIN_SETTLE_MS = 15_000
+# An instance heard or listed within this time counts as known.
+KNOWN_MS = 60_000
+
+# Each lower rank waits this much longer before it proposes in place of a higher one.
+RANK_STEP_MS = 300
+SNAPSHOT_RANK_STEP_MS = 2_000
+
+# A started member gets a short lease until all members run, so that a partial gang lapses soon.
+START_LEASE_MS = 3_000
+LEASE_MS = 30_000
+START_BOUND_MS = 4_000
+PARTIAL_GANG_BOUND_MS = 10_000
+START_TIMEOUT_MS = 1_000
+# A silent worker's members count as lost this long after their lease lapsed.
+LOST_MARGIN_MS = 5_000
+CHECKPOINT_BOUND_MS = 5_000
+RESERVATION_MS = 60_000
+
+# An accepted claim or answer is kept this long past the request's deadline.
+CLAIM_KEEP_MS = 2 * 3_600_000
+MAX_DEADLINE_MS = 3_600_000
+ANSWER_KEEP_MS = 600_000
+LOG_WAIT_MS = 2_000
+PATIENT_REQUEST_AGEING_MS = 20_000
+PATIENT_JOB_AGEING_MS = 600_000
+ZONE_OUT_BOUND_MS = 5_000
+STOP_BOUND_MS = 15_000
--- /dev/null
+++ b/libs/placement/src/hornbeamfold/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Gang placement, guarantees, reclaim, backfill and estimates."""
--- /dev/null
+++ b/libs/routing/src/hornbeamfold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Worker choice, retry budget, hedging, fair queue and shedding."""
--- /dev/null
+++ b/libs/rpc/src/hornbeamfold/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""gRPC schema, generated code and adapters to data classes."""
--- /dev/null
+++ b/libs/settings/src/hornbeamfold/settings/__init__.py
@@ -0,0 +1,1 @@
+"""YAML settings of an entry instance, checked in full."""
--- /dev/null
+++ b/libs/standins/src/hornbeamfold/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform's services."""
--- /dev/null
+++ b/libs/telemetry/src/hornbeamfold/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""JSON logs, decision log lines and OpenTelemetry metrics."""
--- /dev/null
+++ b/libs/view/src/hornbeamfold/view/__init__.py
@@ -0,0 +1,1 @@
+"""Folds log records into the cluster view; snapshots."""
--- /dev/null
+++ b/libs/workers/src/hornbeamfold/workers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP client of the workers."""
