--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/claims.py
@@ -0,0 +1,426 @@
+"""Non-idempotent requests: claimed in the log before dispatch, resolved if their holder dies."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.dispatch import Dispatcher, Slot
+from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.logclient import LogWriter
+from hornbeamfold.membership import Freshness, PeerTable
+from hornbeamfold.model.errors import Done, ErrorKind, Outcome, Ran, Refused
+from hornbeamfold.model.events import (
+    ClaimDone,
+    ClaimMade,
+    ClaimMoved,
+    ClaimReleased,
+    Event,
+)
+from hornbeamfold.model.invariants import check
+from hornbeamfold.model.timing import CLAIM_KEEP_MS, LOG_WAIT_MS
+from hornbeamfold.model.topology import Worker
+from hornbeamfold.model.work import Claim, ClaimState, Request, request_task_id
+from hornbeamfold.telemetry import counter, get_logger, log_decision
+from hornbeamfold.workers import (
+    CallFailure,
+    LookedUp,
+    NoReply,
+    NotSent,
+    RunBusy,
+    RunDone,
+    RunFailed,
+    RunOutcome,
+    RunRefused,
+    RunState,
+    Voided,
+    VoidState,
+    WorkerClient,
+)
+
+RESOLVE_MS = 1_000
+# A holder must be unheard for this long before its claims are resolved by others.
+HOLDER_SILENT_MS = 3_000
+LOOK_UP_MS = 1_000
+LOOK_UP_PAUSE_MS = 250
+MAX_LOGGED_ANSWER_BYTES = 200 * 1024
+
+logger = get_logger("hornbeamfold.daemon.claims")
+count_claims = counter("hornbeamfold_claims", "Claims on non-idempotent requests by outcome")
+
+Key = tuple[str, str]
+CheckAnswer = Callable[[Request, str, RunDone, str], Outcome]
+
+
+class ClaimService:
+    """The claims of one instance, and the duty to resolve those of dead holders."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        follower: LogFollower,
+        writer: LogWriter,
+        freshness: Freshness,
+        peers: PeerTable,
+        dispatcher: Dispatcher,
+        client: WorkerClient,
+        check_answer: CheckAnswer,
+        clock: Clock,
+        wall: Clock,
+    ) -> None:
+        self._incarnation = incarnation
+        self._follower = follower
+        self._writer = writer
+        self._freshness = freshness
+        self._peers = peers
+        self._dispatcher = dispatcher
+        self._client = client
+        self._check_answer = check_answer
+        self._clock = clock
+        self._wall = wall
+        self._serving: set[Key] = set()
+        self._dispatched: set[tuple[Key, int]] = set()
+        self._silent_since: dict[str, int] = {}
+        self._resolving: set[Key] = set()
+
+    def serve(self, request: Request, digest: str, arrived: int) -> Outcome:
+        """Return the answer of a non-idempotent request, running it at most once."""
+        self._serving.add(request.key)
+        try:
+            return self._serve(request, digest, arrived)
+        finally:
+            self._serving.discard(request.key)
+
+    def run(self) -> None:
+        """Resolve open claims that nobody serves any more."""
+        while True:
+            eventlet.sleep(RESOLVE_MS / 1_000)
+            try:
+                self._resolve_all()
+            except Exception:
+                logger.exception("Resolving claims failed")
+
+    def _serve(self, request: Request, digest: str, arrived: int) -> Outcome:
+        # A retry may follow a claim that this view has not folded yet.
+        if request.attempt != 1 and not self._follower.wait_confirmed(
+            arrived, min(LOG_WAIT_MS, self._left(request))
+        ):
+            return Refused(ErrorKind.OUTCOME_UNKNOWN, "The log's end could not be confirmed.")
+        if self._wall() > request.deadline_ms + CLAIM_KEEP_MS:
+            return Refused(ErrorKind.OUTCOME_UNKNOWN, "The request is older than claims are kept.")
+        while True:
+            claim = self._follower.view.claims.get(request.key)
+            if claim is not None and claim.digest != digest:
+                return Refused(
+                    ErrorKind.DUPLICATE_REQUEST,
+                    f"Request {request.request_id} exists with another body.",
+                )
+            if claim is not None and claim.state == ClaimState.DONE:
+                return _outcome(claim)
+            if claim is not None and claim.state == ClaimState.OPEN:
+                self._release_unsent(request, claim)
+                if not self._wait_for_end(request, claim):
+                    return Refused(ErrorKind.OUTCOME_UNKNOWN, "The request is still being served.")
+                continue
+            if self._wall() >= request.deadline_ms:
+                return Refused(ErrorKind.DEADLINE_PASSED, "The deadline passed before it ran.")
+            outcome = self._claim_and_run(request, digest)
+            if outcome is not None:
+                return outcome
+
+    def _release_unsent(self, request: Request, claim: Claim) -> None:
+        """Release an own claim that an earlier, refused call left behind without sending it."""
+        if claim.holder != self._incarnation or self._was_sent(claim):
+            return
+        self._write_end(
+            ClaimReleased(request.organisation, request.request_id, claim.epoch, "never sent")
+        )
+
+    def _was_sent(self, claim: Claim) -> bool:
+        return (claim.key, claim.epoch) in self._dispatched
+
+    def _wait_for_end(self, request: Request, claim: Claim) -> bool:
+        """Wait until a claim is no longer open; return False once the deadline has passed."""
+        while True:
+            present = self._follower.view.claims.get(request.key)
+            if present is None or present.state != ClaimState.OPEN or present.epoch != claim.epoch:
+                return True
+            left = self._left(request)
+            if left <= 0:
+                return False
+            self._follower.changed.wait(left)
+
+    def _claim_and_run(self, request: Request, digest: str) -> Outcome | None:
+        """Claim, dispatch and return the outcome; None if another instance claimed first."""
+        slot = self._dispatcher.acquire(request, frozenset())
+        if isinstance(slot, Refused):
+            return slot
+        event = ClaimMade(
+            request.organisation,
+            request.request_id,
+            digest,
+            self._incarnation,
+            slot.worker.name,
+            request.deadline_ms,
+        )
+        ticket = self._writer.submit((event,))
+        applied = ticket.wait(min(LOG_WAIT_MS, self._left(request)))
+        if applied is None:
+            slot.release()
+            # Only this instance may dispatch under its claim, and it will not: a claim that is
+            # folded later is released by the resolving loop.
+            ticket.withdraw()
+            count_claims(1, outcome="log_unavailable")
+            return Refused(ErrorKind.LOG_UNAVAILABLE, "The log service did not take the claim.")
+        if not applied or not applied[0].accepted:
+            slot.release()
+            return None
+        claim = self._follower.view.claims.get(request.key)
+        if claim is None or claim.holder != self._incarnation:
+            slot.release()
+            return None
+        return self._dispatch(request, digest, claim, slot)
+
+    def _dispatch(
+        self, request: Request, digest: str, claim: Claim, slot: Slot
+    ) -> Outcome | None:
+        """Send the request to the worker that the claim names; move the claim if it did not run.
+
+        Returns None if another instance has ended the claim meanwhile.
+        """
+        tried: set[str] = set()
+        while True:
+            worker = slot.worker
+            refused = self._may_send(request)
+            if refused is not None:
+                slot.release()
+                return self._release(request, claim, refused)
+            self._check_once(claim, worker)
+            task = request_task_id(request.key, claim.epoch)
+            result = self._dispatcher.run(request, digest, task, slot)
+            if isinstance(result, NoReply):
+                result = self._ask(request, worker, task)
+            ended = self._ended(request, digest, claim, worker, result)
+            if ended is not None:
+                return ended
+            tried.add(worker.name)
+            next_slot = self._dispatcher.acquire(request, frozenset(tried))
+            if isinstance(next_slot, Refused):
+                return self._release(request, claim, next_slot)
+            moved = self._move(request, claim, next_slot)
+            if not isinstance(moved, Claim):
+                next_slot.release()
+                return moved
+            claim, slot = moved, next_slot
+
+    def _may_send(self, request: Request) -> Refused | None:
+        if self._wall() >= request.deadline_ms:
+            return Refused(ErrorKind.DEADLINE_PASSED, "The deadline passed before it was sent.")
+        permit = self._freshness.may_start(self._clock())
+        if not permit.granted:
+            return Refused(ErrorKind.STALE_VIEW, permit.reason)
+        return None
+
+    def _check_once(self, claim: Claim, worker: Worker) -> None:
+        mark = (claim.key, claim.epoch)
+        named = claim.worker == worker.name and claim.holder == self._incarnation
+        check("I4 dispatched once", named and mark not in self._dispatched, f"{mark} {worker.name}")
+        self._dispatched.add(mark)
+
+    def _ended(
+        self, request: Request, digest: str, claim: Claim, worker: Worker, result: RunOutcome
+    ) -> Outcome | None:
+        """Write the end of a claim; None if the request certainly did not run on this worker."""
+        if isinstance(result, RunDone):
+            outcome = self._check_answer(request, digest, result, worker.name)
+            self._finish(claim, outcome)
+            return outcome
+        if isinstance(result, RunFailed):
+            outcome = Refused(ErrorKind.FAILED, result.detail)
+            self._finish(claim, outcome)
+            return outcome
+        if isinstance(result, RunBusy | RunRefused | NotSent):
+            return None
+        # The claim stays open: the resolving loop goes on asking the worker.
+        return Refused(ErrorKind.OUTCOME_UNKNOWN, result.detail)
+
+    def _ask(self, request: Request, worker: Worker, task: str) -> RunOutcome:
+        """Find out what became of a request whose reply was lost, until its deadline."""
+        while True:
+            result = self._ask_once(worker, task, request.request_id)
+            if result is not None and not isinstance(result, NoReply):
+                return result
+            if self._left(request) <= 0:
+                return NoReply("The worker did not say whether it ran the request.")
+            eventlet.sleep(LOOK_UP_PAUSE_MS / 1_000)
+
+    def _ask_once(self, worker: Worker, task: str, request_id: str) -> RunOutcome | None:
+        """Look a task up and void it if the worker never saw it; None while it runs."""
+        seen = self._client.look_up(worker, task, LOOK_UP_MS)
+        if not isinstance(seen, LookedUp):
+            return NoReply(seen.detail)
+        if seen.state == RunState.RUNNING:
+            return None
+        if seen.state == RunState.FINISHED:
+            return RunDone(seen.answer, seen.request_id or request_id, seen.digest)
+        if seen.state == RunState.FAILED:
+            return RunFailed(seen.detail)
+        voided = self._client.void(worker, task, LOOK_UP_MS)
+        if isinstance(voided, Voided) and voided.state == VoidState.VOIDED:
+            return RunRefused()
+        if isinstance(voided, Voided):
+            return None
+        return NoReply(_void_detail(voided))
+
+    def _move(self, request: Request, claim: Claim, slot: Slot) -> Claim | Refused | None:
+        """Make the next worker durable before it gets the request; return the moved claim."""
+        event = ClaimMoved(
+            request.organisation,
+            request.request_id,
+            claim.epoch,
+            self._incarnation,
+            slot.worker.name,
+        )
+        ticket = self._writer.submit((event,))
+        applied = ticket.wait(min(LOG_WAIT_MS, max(1, self._left(request))))
+        if applied is None:
+            ticket.withdraw()
+            # It ran nowhere, and nothing will be sent under this claim any more.
+            return Refused(ErrorKind.LOG_UNAVAILABLE, "The log service did not take the move.")
+        present = self._follower.view.claims.get(request.key)
+        if applied and applied[0].accepted and present is not None:
+            return present
+        return None
+
+    def _release(self, request: Request, claim: Claim, refused: Refused) -> Refused:
+        """End a claim whose request certainly did not run."""
+        log_decision(
+            "route",
+            "refuse",
+            refused.detail,
+            organisation=request.organisation,
+            request_id=request.request_id,
+            kind=refused.kind.value,
+        )
+        count_claims(1, outcome="released")
+        self._write_end(
+            ClaimReleased(request.organisation, request.request_id, claim.epoch, refused.detail)
+        )
+        return Refused(refused.kind, refused.detail, Ran.NOT_RUN)
+
+    def _finish(self, claim: Claim, outcome: Outcome) -> None:
+        count_claims(1, outcome="done" if isinstance(outcome, Done) else outcome.kind.value)
+        self._write_end(_end_event(claim, outcome))
+
+    def _write_end(self, event: Event) -> None:
+        """Append without waiting: the caller gets the outcome even if the log is down."""
+        self._writer.submit((event,))
+
+    def _left(self, request: Request) -> int:
+        return max(0, request.deadline_ms - self._wall())
+
+    def _resolve_all(self) -> None:
+        if not self._follower.ready or not self._freshness.may_start(self._clock()).granted:
+            return
+        now = self._clock()
+        for claim in self._follower.view.open_claims():
+            if claim.key in self._serving or claim.key in self._resolving:
+                continue
+            if not self._abandoned(claim, now):
+                continue
+            self._resolving.add(claim.key)
+            eventlet.spawn(self._resolve, claim)
+
+    def _abandoned(self, claim: Claim, now: int) -> bool:
+        """Return whether it is this instance's turn to resolve a claim."""
+        if claim.holder == self._incarnation:
+            return True
+        if self._peers.incarnation_live(claim.holder, now):
+            self._silent_since.pop(claim.holder, None)
+            return False
+        silent = now - self._silent_since.setdefault(claim.holder, now)
+        rank = self._peers.rank(f"{claim.organisation}/{claim.request_id}", now)
+        return silent >= HOLDER_SILENT_MS + rank * RESOLVE_MS
+
+    def _resolve(self, claim: Claim) -> None:
+        try:
+            event = self._resolution(claim)
+            if event is None:
+                return
+            log_decision(
+                "resolve",
+                type(event).__name__,
+                "the holder of the claim is gone",
+                organisation=claim.organisation,
+                request_id=claim.request_id,
+                worker=claim.worker,
+                epoch=claim.epoch,
+            )
+            self._writer.submit((event,)).wait(LOG_WAIT_MS)
+        finally:
+            self._resolving.discard(claim.key)
+
+    def _resolution(self, claim: Claim) -> Event | None:
+        """Return how a claim ends, or None while that can't be said yet."""
+        worker = self._follower.view.workers.get(claim.worker)
+        if worker is None:
+            return _unknown(claim, "The worker has left the configuration.")
+        task = request_task_id(claim.key, claim.epoch)
+        if claim.holder == self._incarnation and not self._was_sent(claim):
+            return ClaimReleased(claim.organisation, claim.request_id, claim.epoch, "never sent")
+        result = self._ask_once(worker, task, claim.request_id)
+        if result is None:
+            return None
+        if isinstance(result, RunDone):
+            return _end_event(claim, _checked(claim, result))
+        if isinstance(result, RunFailed):
+            return _end_event(claim, Refused(ErrorKind.FAILED, result.detail))
+        if isinstance(result, RunRefused):
+            return ClaimReleased(claim.organisation, claim.request_id, claim.epoch, "voided")
+        if self._wall() < claim.deadline_ms:
+            return None
+        return _unknown(claim, getattr(result, "detail", ""))
+
+
+def _outcome(claim: Claim) -> Outcome:
+    if claim.kind is None:
+        return Done(claim.answer, claim.worker)
+    return _refused(claim)
+
+
+def _refused(claim: Claim) -> Refused:
+    return Refused(claim.kind or ErrorKind.OUTCOME_UNKNOWN, claim.detail)
+
+
+def _checked(claim: Claim, done: RunDone) -> Outcome:
+    """Return the answer that a worker kept, if it belongs to the claim."""
+    if done.request_id == claim.request_id and done.digest == claim.digest:
+        return Done(done.answer, claim.worker)
+    return Refused(ErrorKind.OUTCOME_UNKNOWN, "The worker kept the answer of another request.")
+
+
+def _end_event(claim: Claim, outcome: Outcome) -> ClaimDone:
+    if isinstance(outcome, Refused):
+        return ClaimDone(
+            claim.organisation, claim.request_id, claim.epoch, "", outcome.kind, outcome.detail
+        )
+    if len(outcome.answer.encode()) > MAX_LOGGED_ANSWER_BYTES:
+        return ClaimDone(
+            claim.organisation,
+            claim.request_id,
+            claim.epoch,
+            "",
+            ErrorKind.ANSWER_TOO_LARGE,
+            f"The answer has more than {MAX_LOGGED_ANSWER_BYTES} bytes.",
+        )
+    return ClaimDone(claim.organisation, claim.request_id, claim.epoch, outcome.answer)
+
+
+def _unknown(claim: Claim, detail: str) -> ClaimDone:
+    return ClaimDone(
+        claim.organisation, claim.request_id, claim.epoch, "", ErrorKind.OUTCOME_UNKNOWN, detail
+    )
+
+
+def _void_detail(failure: CallFailure) -> str:
+    return f"The worker never saw the task and could not void it: {failure.detail}"
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/dispatch.py
@@ -0,0 +1,361 @@
+"""Chooses workers for requests, queues requests when all slots are taken, and sends them."""
+
+from collections.abc import Callable, Set
+from dataclasses import dataclass
+from random import Random
+
+import eventlet
+from eventlet.event import Event
+
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.membership import PeerTable, rank_names
+from hornbeamfold.model.errors import ErrorKind, Refused
+from hornbeamfold.model.topology import Worker
+from hornbeamfold.model.work import Request
+from hornbeamfold.routing import (
+    Candidates,
+    Choice,
+    FairQueue,
+    LatencyTable,
+    Links,
+    OutlierTable,
+    RetryBudget,
+    Router,
+    Waiting,
+    make_candidates,
+)
+from hornbeamfold.telemetry import counter, gauge, log_decision
+from hornbeamfold.workers import (
+    CallFailure,
+    NoReply,
+    RunBusy,
+    RunDone,
+    RunFailed,
+    RunOutcome,
+    RunRequest,
+    SyncReply,
+    WorkerClient,
+)
+
+WORKER_CONNECTIONS = 64
+# The connections of a worker are shared by at least this many instances.
+MIN_INSTANCES = 9
+# The rest of a deadline that is left to the reply's way back.
+REPLY_MARGIN_MS = 20
+MIN_RUN_MS = 10
+PUMP_MS = 100
+# Each worker is in the own subset of this many instances.
+SUBSET_OWNERS = 1
+
+count_dispatches = counter("hornbeamfold_dispatches", "Requests sent to workers by outcome")
+count_cross_region = counter("hornbeamfold_cross_region_bytes", "Bytes sent to other regions")
+
+Key = tuple[str, str]
+
+
+@dataclass(frozen=True)
+class _Wait:
+    """A request that waits for a slot, and the event that brings its outcome."""
+
+    request: Request
+    exclude: frozenset[str]
+    granted: Event
+
+
+class Slot:
+    """A place on a worker that a request holds from the choice to the end of its run."""
+
+    def __init__(self, worker: Worker, choice: Choice, on_release: Callable[[str], None]) -> None:
+        self._worker = worker
+        self._choice = choice
+        self._on_release = on_release
+        self._held = True
+
+    @property
+    def worker(self) -> Worker:
+        """The chosen worker."""
+        return self._worker
+
+    @property
+    def choice(self) -> Choice:
+        """Why it was chosen."""
+        return self._choice
+
+    def release(self) -> None:
+        """Give the place back; later calls do nothing."""
+        if not self._held:
+            return
+        self._held = False
+        self._on_release(self._worker.name)
+
+
+class Dispatcher:
+    """The routing state of one instance."""
+
+    def __init__(
+        self,
+        name: str,
+        availability_zone: str,
+        region: str,
+        follower: LogFollower,
+        peers: PeerTable,
+        client: WorkerClient,
+        clock: Clock,
+        wall: Clock,
+        max_queue: int,
+        rng: Random,
+    ) -> None:
+        self._name = name
+        self._region = region
+        self._follower = follower
+        self._peers = peers
+        self._client = client
+        self._clock = clock
+        self._wall = wall
+        self._latencies = LatencyTable()
+        limit = WORKER_CONNECTIONS // MIN_INSTANCES - 1
+        self._router = Router(availability_zone, region, Links(), limit, self._latencies, rng)
+        self._budget = RetryBudget(clock())
+        self._outliers = OutlierTable()
+        self._queue: FairQueue[_Wait] = FairQueue(max_queue, self._weight)
+        self._running = 0
+        self._leaving: frozenset[str] = frozenset()
+        self._owners: tuple[object, ...] = ()
+        self._own: frozenset[str] = frozenset()
+        self._basis: tuple[object, ...] = ()
+        self._candidates = Candidates((), ())
+        gauge("hornbeamfold_queued_requests", "Requests waiting here", lambda: len(self._queue))
+
+    @property
+    def in_flight(self) -> dict[str, int]:
+        """Own requests on each worker, for the heartbeat."""
+        return dict(self._router.in_flight)
+
+    @property
+    def set_aside(self) -> tuple[str, ...]:
+        """The workers that this instance has ejected, for the heartbeat."""
+        return self._outliers.set_aside()
+
+    def run_queue(self) -> None:
+        """Grant slots that free up elsewhere, and refuse requests whose deadline has passed."""
+        while True:
+            eventlet.sleep(PUMP_MS / 1_000)
+            for waiting in self._queue.expired(self._wall()):
+                waiting.payload.granted.send(
+                    Refused(ErrorKind.DEADLINE_PASSED, "The deadline passed in the queue.")
+                )
+            self._pump()
+
+    def set_leaving(self, workers: frozenset[str]) -> None:
+        """Take over the workers that leave."""
+        self._leaving = workers
+
+    def worker_reported(self, worker: str, reply: SyncReply) -> None:
+        """Take over the load that a worker reported to its keeper."""
+        capacity = self._follower.view.capacities.get(worker)
+        if capacity is not None:
+            self._router.reported(worker, capacity.free_slots, reply.free_slots, self._clock())
+
+    def peer_reported(self, peer: str, in_flight: dict[str, int], ejected: tuple[str, ...]) -> None:
+        """Take over a peer's load digest and its ejected workers."""
+        now = self._clock()
+        self._router.peer_reported(peer, in_flight, now)
+        self._outliers.hint(peer, ejected, now)
+
+    def acquire(self, request: Request, exclude: frozenset[str]) -> Slot | Refused:
+        """Choose a worker, waiting in the queue while all slots are taken."""
+        if not exclude:
+            self._budget.earn()
+        if len(self._queue) == 0:
+            choice = self._choose(request, exclude)
+            if isinstance(choice, Choice):
+                return self._take(request, choice)
+            if choice.kind != ErrorKind.OVERLOADED:
+                return self._refuse(request, choice)
+        return self._wait(request, exclude)
+
+    def cancel(self, key: Key) -> bool:
+        """Cancel a request that waits in the queue; return whether it did."""
+        waiting = self._queue.cancel(key)
+        if waiting is None:
+            return False
+        waiting.payload.granted.send(Refused(ErrorKind.CANCELLED, "The request was cancelled."))
+        return True
+
+    def may_retry(self, request: Request) -> bool:
+        """Take a token of the retry budget."""
+        del request
+        return self._budget.spend(self._clock())
+
+    def hedge_delay(self, request: Request) -> float | None:
+        """Return when a second try is worth it, or None if that is not known."""
+        return self._latencies.hedge_after_ms(request.kind, self._clock())
+
+    def hedge(self, request: Request, exclude: frozenset[str]) -> Slot | None:
+        """Return a second worker if there is a free slot and a token for it."""
+        choice = self._choose(request, exclude)
+        if not isinstance(choice, Choice) or not self._budget.spend(self._clock()):
+            return None
+        return self._take(request, choice, "hedge: ")
+
+    def run(self, request: Request, digest: str, task: str, slot: Slot) -> RunOutcome:
+        """Send a request to the worker of its slot and learn from the outcome."""
+        worker = slot.worker
+        started = self._clock()
+        left = request.deadline_ms - self._wall() - REPLY_MARGIN_MS
+        message = RunRequest(
+            task,
+            request.organisation,
+            request.request_id,
+            request.kind,
+            request.body,
+            digest,
+            request.deadline_ms,
+        )
+        self._running += 1
+        self._outliers.started(worker.name, started)
+        try:
+            outcome = self._client.run(worker, message, max(MIN_RUN_MS, left))
+        finally:
+            self._running -= 1
+            slot.release()
+        self._learn(request, worker, outcome, started)
+        if slot.choice.crosses_regions:
+            answer = outcome.answer if isinstance(outcome, RunDone) else ""
+            count_cross_region(len(request.body) + len(answer))
+        count_dispatches(1, outcome=type(outcome).__name__)
+        return outcome
+
+    def _learn(self, request: Request, worker: Worker, outcome: RunOutcome, started: int) -> None:
+        now = self._clock()
+        if isinstance(outcome, RunDone):
+            self._outliers.succeeded(worker.name, started, now)
+            size = len(outcome.answer)
+            self._router.answered(worker.name, request.kind, now - started, size, now)
+            return
+        if isinstance(outcome, RunBusy):
+            self._outliers.abandoned(worker.name)
+            self._router.busy(worker.name, now)
+            return
+        timed_out = isinstance(outcome, NoReply) and self._wall() >= request.deadline_ms
+        if timed_out or not isinstance(outcome, RunFailed | CallFailure):
+            self._outliers.abandoned(worker.name)
+            return
+        blame = self._outliers.failed(worker.name, request.key, now)
+        log_decision(
+            "blame",
+            blame.value,
+            outcome.detail,
+            worker=worker.name,
+            organisation=request.organisation,
+            request_id=request.request_id,
+        )
+
+    def _wait(self, request: Request, exclude: frozenset[str]) -> Slot | Refused:
+        now = self._wall()
+        wait = _Wait(request, exclude, Event())
+        service_ms = self._latencies.typical_ms(request.kind, self._clock())
+        waiting = Waiting(request.key, request.urgent, now, request.deadline_ms, service_ms, wait)
+        queued = self._queue.offer(waiting, max(self._running, 1), now)
+        if isinstance(queued, Refused):
+            return self._refuse(request, queued)
+        if queued.displaced is not None:
+            queued.displaced.payload.granted.send(
+                Refused(ErrorKind.OVERLOADED, "An organisation with a smaller share was queued.")
+            )
+        self._pump()
+        granted = wait.granted.wait()
+        if isinstance(granted, Refused):
+            return self._refuse(request, granted)
+        return granted
+
+    def _pump(self) -> None:
+        """Give free slots to waiting requests in the order of the queue."""
+        while len(self._queue):
+            waiting = self._queue.take(self._wall())
+            if waiting is None:
+                return
+            wait = waiting.payload
+            choice = self._choose(wait.request, wait.exclude)
+            if isinstance(choice, Choice):
+                wait.granted.send(self._take(wait.request, choice, "after a wait: "))
+                continue
+            if choice.kind == ErrorKind.OVERLOADED:
+                self._queue.put_back(waiting)
+                return
+            wait.granted.send(choice)
+
+    def _choose(self, request: Request, exclude: Set[str]) -> Choice | Refused:
+        candidates = self._present_candidates()
+        now = self._clock()
+        ejected = self._outliers.excluded(
+            now, len(candidates.every), request.idempotent, request.urgent
+        )
+        return self._router.choose(request, candidates, now, frozenset(exclude) | ejected)
+
+    def _take(self, request: Request, choice: Choice, prefix: str = "") -> Slot:
+        worker = self._follower.view.workers[choice.worker]
+        self._router.started(worker.name)
+        log_decision(
+            "route",
+            worker.name,
+            prefix + choice.reason,
+            organisation=request.organisation,
+            request_id=request.request_id,
+            request_kind=request.kind,
+            urgent=request.urgent,
+            idempotent=request.idempotent,
+            compared=list(choice.compared),
+            expected_ms=round(choice.expected_ms, 1),
+            busy=round(choice.load.busy, 1),
+            crosses_regions=choice.crosses_regions,
+            offset=self._follower.view.offset,
+        )
+        return Slot(worker, choice, self._released)
+
+    def _released(self, worker: str) -> None:
+        self._router.ended(worker)
+        if len(self._queue):
+            self._pump()
+
+    def _refuse(self, request: Request, refused: Refused) -> Refused:
+        log_decision(
+            "route",
+            "refuse",
+            refused.detail,
+            kind=refused.kind.value,
+            organisation=request.organisation,
+            request_id=request.request_id,
+            queued=len(self._queue),
+        )
+        return refused
+
+    def _present_candidates(self) -> Candidates:
+        view = self._follower.view
+        live = self._peers.live(self._clock())
+        owners = (live, view.workers_version)
+        if owners != self._owners:
+            self._owners = owners
+            self._own = self._own_subset([name for name, _ in live] or [self._name])
+        basis = (owners, view.offset, self._leaving)
+        if basis != self._basis:
+            self._basis = basis
+            self._candidates = make_candidates(
+                view.capacities.values(), self._own, self._leaving
+            )
+        return self._candidates
+
+    def _own_subset(self, names: list[str]) -> frozenset[str]:
+        """Return the workers that this instance prefers, and share the connections anew."""
+        share = WORKER_CONNECTIONS // max(MIN_INSTANCES, len(names))
+        self._router.limit_connections(max(1, share - 1))
+        return frozenset(
+            worker
+            for worker in self._follower.view.workers
+            if self._name in rank_names(worker, names)[:SUBSET_OWNERS]
+        )
+
+    def _weight(self, organisation: str) -> float:
+        known = self._follower.view.organisations.get(organisation)
+        return known.weight if known is not None and known.weight > 0 else 1.0
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/follower.py
@@ -0,0 +1,263 @@
+"""Follows the log: folds entries into the view, reloads from snapshots, relays to peers."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from hornbeamfold.daemon.clock import Clock, Signal
+from hornbeamfold.logclient import (
+    Expired,
+    LogClient,
+    LogFailure,
+    LogWriter,
+    ReadResult,
+    encode_record,
+)
+from hornbeamfold.membership import Freshness
+from hornbeamfold.model.events import (
+    Applied,
+    Entry,
+    JobCancelled,
+    JobPlaced,
+    JobStopping,
+    MembersReported,
+    SnapshotPart,
+)
+from hornbeamfold.model.invariants import check
+from hornbeamfold.model.status import RelayedEntries, RelayedEntry
+from hornbeamfold.telemetry import counter, get_logger
+from hornbeamfold.view import SnapshotCollector, View
+
+# Entries kept for peers that cannot read the log themselves.
+RELAY_ENTRIES = 4_096
+LOAD_LIMIT = 500
+LOAD_PAUSE_MS = 200
+
+logger = get_logger("hornbeamfold.daemon.follower")
+count_entries = counter("hornbeamfold_log_entries_folded", "Log entries folded into the view")
+count_rejected = counter("hornbeamfold_events_rejected", "Events that the fold rejected")
+
+ViewFactory = Callable[[], View]
+Listener = Callable[[Entry, tuple[Applied, ...]], None]
+
+
+@dataclass(frozen=True)
+class Loaded:
+    """A view restored from the log, and the time at which its last read started."""
+
+    view: View
+    end: int
+    read_started_ms: int
+
+
+class LogFollower:
+    """The view of this instance and the entries that it was folded from most recently."""
+
+    def __init__(
+        self, new_view: ViewFactory, writer: LogWriter, freshness: Freshness, clock: Clock
+    ) -> None:
+        self._new_view = new_view
+        self._view = new_view()
+        self._writer = writer
+        self._freshness = freshness
+        self._clock = clock
+        self._ready = False
+        self._recent: deque[Entry] = deque(maxlen=RELAY_ENTRIES)
+        self._collector = SnapshotCollector()
+        self._listeners: list[Listener] = []
+        self._changed = Signal()
+        self._snapshot_offset = 0
+        self._snapshot_ms = 0
+
+    @property
+    def view(self) -> View:
+        """The folded state."""
+        return self._view
+
+    @property
+    def ready(self) -> bool:
+        """Whether the view was loaded up to the log's end at least once."""
+        return self._ready
+
+    @property
+    def new_view(self) -> ViewFactory:
+        """Makes an empty view."""
+        return self._new_view
+
+    @property
+    def changed(self) -> Signal:
+        """Notified after entries were folded and after each confirmation of the log's end."""
+        return self._changed
+
+    @property
+    def snapshot_offset(self) -> int:
+        """The offset as of which the newest complete snapshot in the log was taken."""
+        return self._snapshot_offset
+
+    @property
+    def snapshot_ms(self) -> int:
+        """The log time of that snapshot, 0 if there is none."""
+        return self._snapshot_ms
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call a function with each folded entry and its verdicts."""
+        self._listeners.append(listener)
+
+    def adopt(self, loaded: Loaded) -> None:
+        """Take a loaded view as this instance's own; it must not be older than the present one."""
+        check(
+            "I6 configuration never goes back",
+            loaded.view.configuration_offset >= self._view.configuration_offset,
+            f"loaded {loaded.view.configuration_offset}, had {self._view.configuration_offset}",
+        )
+        if loaded.view.offset < self._view.offset:
+            return
+        self._view = loaded.view
+        self._recent.clear()
+        self._collector = SnapshotCollector()
+        self._confirm(loaded.read_started_ms, loaded.end)
+
+    def on_entries(self, entries: Iterable[Entry], end: int, started_ms: int) -> None:
+        """Fold entries of a read that started at `started_ms` and saw the log end at `end`."""
+        for entry in entries:
+            self._fold(entry)
+        self._confirm(started_ms, end)
+
+    def next_offset(self) -> int:
+        """Return the offset to read next; relayed entries move it too."""
+        return self._view.offset
+
+    def on_failure(self, failure: LogFailure) -> None:
+        """Note a read that failed."""
+        self._freshness.log_failed()
+        logger.warning("The log was not read", extra={"detail": failure.detail})
+
+    def on_relayed(self, entries: Iterable[Entry]) -> None:
+        """Fold entries that a peer relayed; they confirm nothing by themselves."""
+        for entry in entries:
+            self._fold(entry)
+        self._freshness.advanced(self._view.offset)
+        self._changed.notify()
+
+    def relay(self, start: int, limit: int) -> RelayedEntries:
+        """Return entries from an offset on for a peer that cannot read the log."""
+        first = self._recent[0].offset if self._recent else self._view.offset
+        chosen: list[RelayedEntry] = []
+        for entry in self._recent:
+            if entry.offset < start or len(chosen) >= limit:
+                continue
+            chosen.append(RelayedEntry(entry.offset, entry.at_ms, encode_record(entry.record)))
+        age = self._freshness.own_confirmed_age(self._clock())
+        return RelayedEntries(tuple(chosen), self._view.offset, first, age)
+
+    def wait_confirmed(self, since_ms: int, timeout_ms: int) -> bool:
+        """Wait until the log's end was confirmed by a read that started after `since_ms`."""
+        deadline = self._clock() + timeout_ms
+        while self._freshness.own_confirmed_age(self._clock()) > self._clock() - since_ms:
+            left = deadline - self._clock()
+            if left <= 0 or not self._changed.wait(left):
+                return False
+        return True
+
+    def _fold(self, entry: Entry) -> None:
+        if entry.offset < self._view.offset:
+            return
+        applied = self._view.apply(entry)
+        self._recent.append(entry)
+        count_entries(1)
+        for verdict in applied:
+            if verdict.accepted:
+                continue
+            count_rejected(1, event=type(verdict.event).__name__)
+        self._collect(entry, applied)
+        for listener in self._listeners:
+            listener(entry, applied)
+
+    def _collect(self, entry: Entry, applied: tuple[Applied, ...]) -> None:
+        for verdict in applied:
+            if not isinstance(verdict.event, SnapshotPart):
+                continue
+            restored = self._collector.add(verdict.event)
+            if restored is None:
+                continue
+            self._snapshot_offset = verdict.event.as_of
+            self._snapshot_ms = entry.at_ms
+            self._verify(restored, verdict.event.as_of)
+
+    def _verify(self, restored: View, as_of: int) -> None:
+        """Fold the entries behind a snapshot onto it and compare it with the own view."""
+        if not self._recent or self._recent[0].offset > as_of:
+            return
+        for entry in self._recent:
+            if entry.offset < as_of:
+                continue
+            restored.apply(entry)
+        check(
+            "I8 snapshot digests agree",
+            restored.digest() == self._view.digest(),
+            f"snapshot as of {as_of} differs at offset {self._view.offset}",
+        )
+
+    def _confirm(self, started_ms: int, end: int) -> None:
+        self._freshness.advanced(self._view.offset)
+        if self._view.offset >= end:
+            self._freshness.confirmed(started_ms, self._view.offset)
+            self._writer.confirmed(started_ms)
+            self._ready = True
+        self._changed.notify()
+
+
+def load(client: LogClient, new_view: ViewFactory, clock: Clock) -> Loaded | LogFailure:
+    """Build a view from the newest complete snapshot in the log and the entries behind it."""
+    started = clock()
+    head = client.read(0, 1, 0)
+    if isinstance(head, LogFailure):
+        return head
+    first, end = head.first, head.end
+    if first == 0:
+        return Loaded(new_view(), end, started)
+    collector = SnapshotCollector()
+    restored: View | None = None
+    start = first
+    while start < end:
+        result = client.read(start, LOAD_LIMIT, 0)
+        if isinstance(result, LogFailure):
+            return result
+        if isinstance(result, Expired):
+            start = result.first
+            continue
+        for entry in result.entries:
+            restored = _newest(collector, entry, first) or restored
+        start = result.entries[-1].offset + 1 if result.entries else end
+    if restored is None and first >= end:
+        return LogFailure("empty", "the log holds no records and no snapshot", False)
+    if restored is None:
+        return LogFailure("no_snapshot", "the log holds no complete snapshot", False)
+    return Loaded(restored, end, started)
+
+
+def _newest(collector: SnapshotCollector, entry: Entry, first: int) -> View | None:
+    newest = None
+    for event in entry.record.events:
+        # A snapshot as of an offset before the first retained one has a gap behind it.
+        if not isinstance(event, SnapshotPart) or event.as_of < first:
+            continue
+        newest = collector.add(event) or newest
+    return newest
+
+
+def affected_jobs(applied: Iterable[Applied]) -> set[tuple[str, str]]:
+    """Return the keys of the jobs whose members may have changed."""
+    keys: set[tuple[str, str]] = set()
+    for verdict in applied:
+        event = verdict.event
+        if not verdict.accepted:
+            continue
+        if isinstance(event, JobPlaced | JobStopping | JobCancelled):
+            keys.add((event.organisation, event.job_id))
+        if isinstance(event, MembersReported):
+            keys.update((report.organisation, report.job_id) for report in event.reports)
+    return keys
+
+
+__all__ = ["Loaded", "LogFollower", "ReadResult", "affected_jobs", "load"]
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
@@ -0,0 +1,58 @@
+"""The heartbeat that this instance sends, and what it does with those of its peers."""
+
+from collections.abc import Callable
+
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.dispatch import Dispatcher
+from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.membership import Freshness, PeerTable
+from hornbeamfold.model.status import PeerHeartbeat
+from hornbeamfold.settings import Settings
+
+HeartbeatSource = Callable[[int], PeerHeartbeat]
+
+
+def heartbeat_source(
+    settings: Settings,
+    incarnation: str,
+    peers: PeerTable,
+    freshness: Freshness,
+    follower: LogFollower,
+    dispatcher: Dispatcher,
+    unavailable: Callable[[], frozenset[str]],
+    leaving: Callable[[], bool],
+    clock: Clock,
+) -> HeartbeatSource:
+    """Return a function that makes the heartbeat with a given number."""
+
+    def make(seq: int) -> PeerHeartbeat:
+        now = clock()
+        return PeerHeartbeat(
+            seq=seq,
+            name=settings.name,
+            incarnation=incarnation,
+            address=settings.rpc_address,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+            leaving=leaving(),
+            log_offset=follower.view.offset,
+            configuration_offset=follower.view.configuration_offset,
+            confirmed_age_ms=freshness.own_confirmed_age(now),
+            log_reachable=freshness.log_reachable,
+            heard=peers.heard_names(now),
+            in_flight=dispatcher.in_flight,
+            set_aside=tuple(sorted(unavailable())),
+            settled=freshness.settled(now),
+        )
+
+    return make
+
+
+def take_heartbeat(
+    peers: PeerTable, dispatcher: Dispatcher, heartbeat: PeerHeartbeat, now_ms: int
+) -> None:
+    """Take in a peer's heartbeat and the load that it reports."""
+    peers.heard(heartbeat, now_ms)
+    dispatcher.peer_reported(
+        heartbeat.name, dict(heartbeat.in_flight), tuple(heartbeat.set_aside)
+    )
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/jobs.py
@@ -0,0 +1,133 @@
+"""Job operations for callers."""
+
+from collections.abc import Callable, Iterator
+
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.daemon.writes import rejection, write_event
+from hornbeamfold.logclient import LogWriter
+from hornbeamfold.model.errors import ErrorKind, Refused
+from hornbeamfold.model.events import JobCancelled, JobSubmitted
+from hornbeamfold.model.status import JobList, JobStatus
+from hornbeamfold.model.work import ENDED_JOBS, Job, JobSpec
+from hornbeamfold.placement import entitled_keys, is_feasible, order_queue
+
+FOLLOW_WAIT_MS = 1_000
+
+
+class JobService:
+    """Submits, shows, follows and cancels jobs."""
+
+    def __init__(
+        self,
+        follower: LogFollower,
+        writer: LogWriter,
+        wall: Clock,
+        draining: Callable[[], bool],
+    ) -> None:
+        self._follower = follower
+        self._writer = writer
+        self._wall = wall
+        self._draining = draining
+
+    def submit(self, spec: JobSpec) -> JobStatus | Refused:
+        """Put a job into the queue; the same job again is answered with its present state."""
+        refused = self._check(spec)
+        if refused is not None:
+            return refused
+        known = self._follower.view.jobs.get(spec.key)
+        if known is not None:
+            return self._same(known, spec)
+        infeasible = is_feasible(spec.shape, self._follower.view.capacities.values())
+        if infeasible:
+            return Refused(ErrorKind.INFEASIBLE, infeasible)
+        verdict = write_event(self._writer, JobSubmitted(spec))
+        if isinstance(verdict, Refused):
+            return verdict
+        job = self._follower.view.jobs.get(spec.key)
+        if not verdict.accepted and job is None:
+            return rejection(verdict)
+        if job is None:
+            return Refused(ErrorKind.OUTCOME_UNKNOWN, "The job was taken but has left the view.")
+        return self._same(job, spec)
+
+    def get(self, organisation: str, job_id: str) -> JobStatus | Refused:
+        """Return the state of a job."""
+        if not self._follower.ready:
+            return Refused(ErrorKind.STALE_VIEW, "This instance has not read the log yet.")
+        job = self._follower.view.jobs.get((organisation, job_id))
+        if job is None:
+            return Refused(ErrorKind.NOT_FOUND, f"No job {job_id} of {organisation} is known.")
+        return self._status(job)
+
+    def cancel(self, organisation: str, job_id: str) -> JobStatus | Refused:
+        """Ask for the end of a job."""
+        known = self.get(organisation, job_id)
+        if isinstance(known, Refused) or known.job.state in ENDED_JOBS:
+            return known
+        verdict = write_event(self._writer, JobCancelled(organisation, job_id))
+        if isinstance(verdict, Refused):
+            return verdict
+        if not verdict.accepted and verdict.kind == ErrorKind.NOT_FOUND:
+            return rejection(verdict)
+        return self.get(organisation, job_id)
+
+    def list(self, organisation: str, state: str) -> JobList:
+        """Return jobs, active and ended ones first, then the queue in its order."""
+        view = self._follower.view
+        queued = order_queue(
+            tuple(view.queued.values()),
+            dict(view.organisations),
+            self._wall(),
+            tuple(view.active_jobs()),
+        )
+        others = [job for key, job in view.jobs.items() if key not in view.queued]
+        chosen: list[JobStatus] = []
+        for job in (*others, *queued):
+            if organisation and job.spec.organisation != organisation:
+                continue
+            if state and job.state.value != state:
+                continue
+            chosen.append(self._status(job))
+        return JobList(tuple(chosen), view.offset)
+
+    def follow(self, organisation: str, job_id: str) -> Iterator[JobStatus | Refused]:
+        """Yield the status at once and after each change until the job has ended."""
+        last: Job | None = None
+        while True:
+            status = self.get(organisation, job_id)
+            if isinstance(status, Refused):
+                yield status
+                return
+            if status.job != last:
+                last = status.job
+                yield status
+            if status.job.state in ENDED_JOBS or self._draining():
+                return
+            self._follower.changed.wait(FOLLOW_WAIT_MS)
+
+    def _check(self, spec: JobSpec) -> Refused | None:
+        if self._draining():
+            return Refused(ErrorKind.DRAINING, "This instance is shutting down.")
+        if not self._follower.ready:
+            return Refused(ErrorKind.STALE_VIEW, "This instance has not read the log yet.")
+        if spec.organisation not in self._follower.view.organisations:
+            return Refused(
+                ErrorKind.UNKNOWN_ORGANISATION, f"No organisation {spec.organisation} is known."
+            )
+        return None
+
+    def _same(self, job: Job, spec: JobSpec) -> JobStatus | Refused:
+        if job.spec != spec:
+            return Refused(
+                ErrorKind.DUPLICATE_REQUEST, f"Job {spec.job_id} exists with other fields."
+            )
+        return self._status(job)
+
+    def _status(self, job: Job) -> JobStatus:
+        view = self._follower.view
+        organisation = view.organisations.get(job.spec.organisation)
+        if organisation is None:
+            return JobStatus(job, view.offset, False)
+        own = [one for one in view.active_jobs() if one.spec.organisation == organisation.name]
+        return JobStatus(job, view.offset, job.key in entitled_keys(organisation, own, job))
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/main.py
@@ -0,0 +1,77 @@
+"""The entry point of the daemon."""
+
+import os
+import signal
+import sys
+import warnings
+from typing import Annotated
+
+# The users chose eventlet; the way out is on the design page.
+warnings.filterwarnings("ignore", category=DeprecationWarning, module="eventlet")
+
+import eventlet  # noqa: E402
+from eventlet import hubs  # noqa: E402
+
+# grpclib needs an asyncio loop, so the hub must be chosen before anything uses it.
+hubs.use_hub("eventlet.hubs.asyncio")
+eventlet.monkey_patch()
+
+from typer import Exit, Option, echo, run  # noqa: E402
+
+from hornbeamfold.daemon.instance import Lifecycle, build, start, stop  # noqa: E402
+from hornbeamfold.settings import SettingsFaults, describe_faults, read_settings  # noqa: E402
+from hornbeamfold.telemetry import (  # noqa: E402
+    configure_logging,
+    install_invariant_reporter,
+    setup_metrics,
+)
+
+EXIT_SETTINGS = 2
+EXIT_UNFINISHED = 1
+
+
+def serve(
+    settings_path: Annotated[str, Option("--settings", help="The YAML file with the settings.")],
+    check: Annotated[bool, Option("--check", help="Check the settings and exit.")] = False,
+) -> None:
+    """Run one entry instance until SIGTERM or SIGINT, then drain and exit."""
+    settings = read_settings(settings_path, os.environ)
+    if isinstance(settings, SettingsFaults):
+        echo(describe_faults(settings), err=True)
+        raise Exit(EXIT_SETTINGS)
+    if check:
+        echo(f"{settings_path}: the settings of {settings.name} are complete.")
+        return
+    configure_logging(settings.name, settings.log_level)
+    setup_metrics(settings.name)
+    install_invariant_reporter(settings.strict_invariants)
+    lifecycle = Lifecycle()
+    parts = build(settings, lifecycle)
+    stopping = eventlet.event.Event()
+
+    def ask_to_stop(number: int, frame: object) -> None:
+        del number, frame
+        if not stopping.ready():
+            hubs.get_hub().schedule_call_global(0, _send_once, stopping)
+
+    signal.signal(signal.SIGTERM, ask_to_stop)
+    signal.signal(signal.SIGINT, ask_to_stop)
+    server = start(parts, settings, lifecycle)
+    stopping.wait()
+    finished = stop(parts, server, settings, lifecycle)
+    sys.stderr.flush()
+    os._exit(0 if finished else EXIT_UNFINISHED)
+
+
+def _send_once(stopping: eventlet.event.Event) -> None:
+    if not stopping.ready():
+        stopping.send(None)
+
+
+def main() -> None:
+    """Run the daemon from the command line."""
+    run(serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/placer.py
@@ -0,0 +1,203 @@
+"""Proposes placements and stops; the instance that ranks first does so, the others wait a little."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+import eventlet
+
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.daemon.keepers import JobAges
+from hornbeamfold.logclient import LogWriter
+from hornbeamfold.membership import Freshness, PeerTable
+from hornbeamfold.model.events import Event, JobJudged, JobPlaced, JobStopping
+from hornbeamfold.model.timing import LOG_WAIT_MS, RANK_STEP_MS, START_BOUND_MS
+from hornbeamfold.model.topology import WorkerCapacity
+from hornbeamfold.model.work import ACTIVE_JOBS, Job, JobState, StopReason
+from hornbeamfold.placement import Decision, PlanningState, plan
+from hornbeamfold.telemetry import counter, get_logger, histogram, log_decision
+from hornbeamfold.view import View, partial_gangs
+
+PLACEMENT_KEY = "placement"
+# Deadlines of starts and ageing pass without any log entry, so the placer also looks by itself.
+IDLE_MS = 500
+
+logger = get_logger("hornbeamfold.daemon.placer")
+count_decisions = counter("hornbeamfold_placement_decisions", "Placement decisions by verdict")
+plan_time = histogram("hornbeamfold_plan_time", "ms", "Time of one planning pass")
+
+
+def due_stops(
+    view: View, ages: JobAges, unavailable: frozenset[str], drained: frozenset[str]
+) -> tuple[Decision, ...]:
+    """Return stops for jobs in zones that are out, on drained workers, or started too slowly."""
+    decisions: list[Decision] = []
+    for job in view.active_jobs():
+        if job.state == JobState.STOPPING:
+            continue
+        reason = _stop_reason(job, view, ages, drained)
+        if reason == StopReason.NONE:
+            continue
+        event = JobStopping(job.key[0], job.key[1], job.attempt, reason)
+        decisions.append(Decision(event, f"{reason.value} at offset {view.offset}"))
+    return tuple(decisions)
+
+
+def _stop_reason(
+    job: Job, view: View, ages: JobAges, drained: frozenset[str]
+) -> StopReason:
+    for status in job.members:
+        capacity = view.capacities.get(status.member.worker)
+        if capacity is None:
+            continue
+        zone = view.zones.get(capacity.worker.availability_zone)
+        if zone is not None and not zone.in_service:
+            return StopReason.ZONE_OUT
+        if status.member.worker in drained:
+            return StopReason.TARGET_DRAIN
+    if job.state == JobState.PLACED and ages.placed_age(job.key, job.attempt) > START_BOUND_MS:
+        return StopReason.START_TIMEOUT
+    return StopReason.NONE
+
+
+def usable_capacities(
+    view: View, unavailable: frozenset[str]
+) -> dict[str, WorkerCapacity]:
+    """Return the capacities with leaving and ejected workers marked as not eligible."""
+    capacities = dict(view.capacities)
+    for name in unavailable:
+        capacity = capacities.get(name)
+        if capacity is not None and capacity.eligible:
+            capacities[name] = replace(capacity, eligible=False)
+    return capacities
+
+
+class Placer:
+    """The planning loop of one instance."""
+
+    def __init__(
+        self,
+        follower: LogFollower,
+        writer: LogWriter,
+        peers: PeerTable,
+        freshness: Freshness,
+        ages: JobAges,
+        clock: Clock,
+        wall: Clock,
+        unavailable: Callable[[], frozenset[str]],
+    ) -> None:
+        self._follower = follower
+        self._writer = writer
+        self._peers = peers
+        self._freshness = freshness
+        self._ages = ages
+        self._clock = clock
+        self._wall = wall
+        self._unavailable = unavailable
+        self._planned_offset = -1
+        self._planned_unavailable: frozenset[str] = frozenset()
+        self._planned_ms = 0
+        self._running = True
+
+    def run(self) -> None:
+        """Plan after each change, when it is this instance's turn."""
+        while self._running:
+            try:
+                self._step()
+            except Exception:
+                logger.exception("A planning pass failed")
+                eventlet.sleep(IDLE_MS / 1_000)
+            self._follower.changed.wait(IDLE_MS)
+
+    def stop(self) -> None:
+        """End the loop after the present pass."""
+        self._running = False
+
+    def _step(self) -> None:
+        now = self._clock()
+        if not self._follower.ready or not self._freshness.may_start(now).granted:
+            return
+        rank = self._peers.rank(PLACEMENT_KEY, now)
+        if rank > 0:
+            offset = self._follower.view.offset
+            eventlet.sleep(rank * RANK_STEP_MS / 1_000)
+            # A first-ranked instance that is at work moves the log; then it is not this one's turn.
+            if self._follower.view.offset != offset:
+                return
+        partial_gangs(self._follower.view, self._wall())
+        decisions = self._decide()
+        if not decisions:
+            return
+        self._propose(decisions, rank)
+
+    def _decide(self) -> tuple[Decision, ...]:
+        view = self._follower.view
+        unavailable = self._unavailable()
+        stops = due_stops(view, self._ages, unavailable, frozenset(view.draining))
+        if stops:
+            return stops
+        if not view.queued:
+            return ()
+        unchanged = (
+            view.offset == self._planned_offset
+            and unavailable == self._planned_unavailable
+            and self._clock() - self._planned_ms < 10 * IDLE_MS
+        )
+        if unchanged:
+            return ()
+        started = self._clock()
+        state = PlanningState(
+            jobs=tuple(view.queued.values()) + tuple(view.active_jobs()),
+            capacities=usable_capacities(view, unavailable),
+            organisations=dict(view.organisations),
+            reservations=tuple(view.reservations.values()),
+            estimates=dict(view.estimates),
+            offset=view.offset,
+        )
+        decisions = plan(state, self._wall())
+        self._planned_offset = view.offset
+        self._planned_unavailable = unavailable
+        self._planned_ms = self._clock()
+        plan_time(self._clock() - started)
+        return decisions
+
+    def _propose(self, decisions: Iterable[Decision], rank: int) -> None:
+        chosen = tuple(decisions)
+        ticket = self._writer.submit(tuple(decision.event for decision in chosen))
+        applied = ticket.wait(LOG_WAIT_MS)
+        if applied is None:
+            ticket.withdraw()
+        for number, decision in enumerate(chosen):
+            verdict = "unknown"
+            detail = ""
+            if applied is not None and number < len(applied):
+                verdict = "accepted" if applied[number].accepted else "rejected"
+                detail = applied[number].detail
+            count_decisions(1, verdict=verdict)
+            log_decision(
+                "placement",
+                _choice(decision.event),
+                decision.reason,
+                verdict=verdict,
+                detail=detail,
+                rank=rank,
+                offset=self._follower.view.offset,
+            )
+
+
+def _choice(event: Event) -> str:
+    if isinstance(event, JobPlaced):
+        where = " ".join(
+            f"{member.worker}:{','.join(map(str, member.accelerators))}"
+            for member in event.members
+        )
+        return f"place {event.organisation}/{event.job_id}#{event.attempt} on {where}"
+    if isinstance(event, JobStopping):
+        return f"stop {event.organisation}/{event.job_id}#{event.attempt} {event.reason.value}"
+    if isinstance(event, JobJudged):
+        verdict = event.infeasible or "feasible"
+        return f"judge {event.organisation}/{event.job_id}: {verdict}"
+    return type(event).__name__
+
+
+__all__ = ["ACTIVE_JOBS", "Placer", "due_stops", "usable_capacities"]
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/requests.py
@@ -0,0 +1,382 @@
+"""Request operations for callers: validation, joining, idempotent serving and answers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import eventlet
+from eventlet.event import Event
+
+from hornbeamfold.daemon.answers import AnswerStore
+from hornbeamfold.daemon.claims import ClaimService
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.dispatch import Dispatcher, Slot
+from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.membership import Freshness
+from hornbeamfold.model.errors import Done, ErrorKind, Outcome, Ran, Refused
+from hornbeamfold.model.invariants import check
+from hornbeamfold.model.status import FoundAnswer, RequestAnswer
+from hornbeamfold.model.timing import CLAIM_KEEP_MS, LOG_WAIT_MS, MAX_DEADLINE_MS
+from hornbeamfold.model.work import ClaimState, Request, request_task_id
+from hornbeamfold.telemetry import counter, get_logger, histogram
+from hornbeamfold.workers import (
+    NoReply,
+    NotSent,
+    RunBusy,
+    RunDone,
+    RunFailed,
+    RunOutcome,
+    RunRefused,
+)
+
+# Requests that fail on this many workers are themselves to blame.
+MAX_FAILED_WORKERS = 2
+PEER_POLL_MS = 200
+
+logger = get_logger("hornbeamfold.daemon.requests")
+count_requests = counter("hornbeamfold_requests", "Requests by outcome")
+request_time = histogram("hornbeamfold_request_time", "ms", "Time from arrival to answer")
+
+Key = tuple[str, str]
+FindAnswer = Callable[[str, str], FoundAnswer]
+
+
+@dataclass(frozen=True)
+class InFlight:
+    """A request that this instance is serving."""
+
+    digest: str
+    finished: Event
+
+
+def body_digest(request: Request) -> str:
+    """Return the digest that ties an answer to its request."""
+    digest = blake2b(digest_size=16)
+    for part in (request.organisation, request.request_id, request.kind, request.body):
+        digest.update(len(part.encode()).to_bytes(4, "big"))
+        digest.update(part.encode())
+    digest.update(b"idempotent" if request.idempotent else b"once")
+    return digest.hexdigest()
+
+
+class RequestService:
+    """The requests of one instance."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        follower: LogFollower,
+        freshness: Freshness,
+        dispatcher: Dispatcher,
+        claims: ClaimService,
+        find_answer: FindAnswer,
+        clock: Clock,
+        wall: Clock,
+        draining: Callable[[], bool],
+    ) -> None:
+        self._incarnation = incarnation
+        self._follower = follower
+        self._freshness = freshness
+        self._dispatcher = dispatcher
+        self._claims = claims
+        self._find_answer = find_answer
+        self._clock = clock
+        self._wall = wall
+        self._draining = draining
+        self._answers = AnswerStore()
+        self._in_flight: dict[Key, InFlight] = {}
+        self._runs = 0
+
+    @property
+    def in_flight(self) -> int:
+        """The number of requests being served."""
+        return len(self._in_flight)
+
+    def submit(self, request: Request) -> RequestAnswer | Refused:
+        """Run a request and return its whole answer, waiting until the deadline at most."""
+        arrived = self._clock()
+        digest = body_digest(request)
+        outcome = self._submit(request, digest, arrived)
+        if isinstance(outcome, Refused):
+            outcome = self._truthful(request, outcome, arrived)
+            count_requests(1, kind=outcome.kind.value)
+            logger.info(
+                "Request refused",
+                extra={
+                    "organisation": request.organisation,
+                    "request_id": request.request_id,
+                    "kind": outcome.kind.value,
+                    "ran": outcome.effective_ran.value,
+                    "detail": outcome.detail,
+                },
+            )
+            return outcome
+        count_requests(1, kind="done")
+        request_time(self._clock() - arrived, urgent=str(request.urgent).lower())
+        return RequestAnswer(
+            request.organisation,
+            request.request_id,
+            outcome.answer,
+            outcome.worker,
+            "done",
+            digest,
+        )
+
+    def get_answer(
+        self, organisation: str, request_id: str, wait_ms: int
+    ) -> RequestAnswer | Refused:
+        """Return the answer of an earlier request, from any instance that knows it."""
+        deadline = self._clock() + wait_ms
+        key = (organisation, request_id)
+        while True:
+            found = self.know(organisation, request_id)
+            if found.state == "unknown":
+                found = self._find_answer(organisation, request_id)
+            left = deadline - self._clock()
+            if found.state == "done" or left <= 0:
+                return self._found(key, found)
+            self._follower.changed.wait(min(left, PEER_POLL_MS))
+
+    def cancel(self, organisation: str, request_id: str) -> Refused | None:
+        """Cancel a request that was not dispatched; None if it was cancelled."""
+        key = (organisation, request_id)
+        if key not in self._in_flight:
+            return Refused(
+                ErrorKind.NOT_FOUND,
+                "This instance is not serving the request; cancel through the one that is.",
+                Ran.UNKNOWN,
+            )
+        if self._dispatcher.cancel(key):
+            return None
+        return Refused(ErrorKind.CONFLICT, "The request was dispatched already.", Ran.UNKNOWN)
+
+    def know(self, organisation: str, request_id: str) -> FoundAnswer:
+        """Return what this instance knows of a request, without asking others."""
+        key = (organisation, request_id)
+        claim = self._follower.view.claims.get(key)
+        if claim is not None and claim.state == ClaimState.DONE:
+            kind = claim.kind.value if claim.kind is not None else ""
+            return FoundAnswer(
+                "done", claim.digest, claim.answer, claim.worker, kind, claim.detail
+            )
+        kept = self._answers.get(key, self._clock())
+        if kept is not None:
+            return _known(kept.digest, kept.outcome)
+        flight = self._in_flight.get(key)
+        if flight is not None:
+            return FoundAnswer("running", flight.digest)
+        if claim is not None and claim.state == ClaimState.OPEN:
+            return FoundAnswer("running", claim.digest, worker=claim.worker)
+        return FoundAnswer("unknown")
+
+    def _submit(self, request: Request, digest: str, arrived: int) -> Outcome:
+        refused = self._check(request)
+        if refused is not None:
+            return refused
+        flight = self._in_flight.get(request.key)
+        if flight is not None:
+            return self._join(request, digest, flight)
+        kept = self._answers.get(request.key, self._clock())
+        if kept is not None and not isinstance(kept.outcome, Refused):
+            return kept.outcome if kept.digest == digest else _duplicate(request)
+        flight = InFlight(digest, Event())
+        self._in_flight[request.key] = flight
+        outcome: Outcome = Refused(ErrorKind.INTERNAL, "The request ended without an outcome.")
+        try:
+            outcome = self._serve(request, digest, arrived)
+        finally:
+            del self._in_flight[request.key]
+            flight.finished.send(outcome)
+        if request.idempotent:
+            self._answers.put(request.key, digest, outcome, self._clock())
+        return outcome
+
+    def _serve(self, request: Request, digest: str, arrived: int) -> Outcome:
+        if self._wall() >= request.deadline_ms and request.idempotent:
+            return Refused(ErrorKind.DEADLINE_PASSED, "The deadline was over at arrival.")
+        if not request.idempotent:
+            return self._claims.serve(request, digest, arrived)
+        if request.attempt != 1:
+            found = self._find_answer(request.organisation, request.request_id)
+            if found.state == "done" and not found.kind:
+                if found.digest != digest:
+                    return _duplicate(request)
+                return Done(found.answer, found.worker)
+        return self._serve_idempotent(request, digest)
+
+    def _check(self, request: Request) -> Refused | None:
+        if self._draining():
+            return Refused(ErrorKind.DRAINING, "This instance is shutting down.")
+        if not self._follower.ready:
+            return Refused(ErrorKind.STALE_VIEW, "This instance has not read the log yet.")
+        if request.organisation not in self._follower.view.organisations:
+            return Refused(
+                ErrorKind.UNKNOWN_ORGANISATION, f"No organisation {request.organisation} is known."
+            )
+        if request.deadline_ms > self._wall() + MAX_DEADLINE_MS:
+            return Refused(ErrorKind.INVALID, "deadline_ms is more than one hour ahead.")
+        return None
+
+    def _join(self, request: Request, digest: str, flight: InFlight) -> Outcome:
+        """Wait for the outcome of the same request that is being served already."""
+        if flight.digest != digest:
+            return _duplicate(request)
+        with eventlet.Timeout(max(0, request.deadline_ms - self._wall()) / 1_000, False):
+            return flight.finished.wait()
+        return Refused(ErrorKind.OUTCOME_UNKNOWN, "The request is still being served.")
+
+    def _serve_idempotent(self, request: Request, digest: str) -> Outcome:
+        """Dispatch until one worker answers, within the deadline and the retry budget."""
+        failed: set[str] = set()
+        tried: set[str] = set()
+        detail = ""
+        ran = Ran.NOT_RUN
+        while True:
+            permit = self._freshness.may_start(self._clock())
+            if not permit.granted:
+                return Refused(ErrorKind.STALE_VIEW, permit.reason, ran)
+            slot = self._dispatcher.acquire(request, frozenset(tried))
+            if isinstance(slot, Refused):
+                return _after_tries(slot, ran, detail)
+            result = self._run_hedged(request, digest, slot, frozenset(tried))
+            if isinstance(result, RunDone):
+                return self._checked(request, digest, result, slot.worker.name)
+            tried.add(slot.worker.name)
+            detail = getattr(result, "detail", type(result).__name__)
+            if isinstance(result, RunFailed):
+                ran = Ran.RAN
+                failed.add(slot.worker.name)
+                if len(failed) >= MAX_FAILED_WORKERS:
+                    return Refused(ErrorKind.FAILED, detail)
+            if isinstance(result, NoReply) and ran == Ran.NOT_RUN:
+                ran = Ran.UNKNOWN
+            if self._wall() >= request.deadline_ms:
+                kind = ErrorKind.DEADLINE_PASSED if ran == Ran.NOT_RUN else _kind_of(ran)
+                return Refused(kind, f"The deadline passed; last: {detail}", ran)
+            if not isinstance(result, RunBusy) and not self._dispatcher.may_retry(request):
+                kind = ErrorKind.OVERLOADED if ran == Ran.NOT_RUN else _kind_of(ran)
+                return Refused(kind, f"The retry budget is used up; last: {detail}", ran)
+
+    def _run_hedged(
+        self, request: Request, digest: str, slot: Slot, tried: frozenset[str]
+    ) -> RunOutcome:
+        """Run on one worker, and on a second one if an urgent request takes unusually long."""
+        delay_ms = self._dispatcher.hedge_delay(request) if request.urgent else None
+        first = eventlet.spawn(self._run, request, digest, slot)
+        if delay_ms is None:
+            return first.wait()
+        done = Event()
+        first.link(_send_result, done)
+        with eventlet.Timeout(delay_ms / 1_000, False):
+            return done.wait()
+        second_slot = self._dispatcher.hedge(request, tried | {slot.worker.name})
+        if second_slot is None:
+            return first.wait()
+        second = eventlet.spawn(self._run, request, digest, second_slot)
+        second.link(_send_result, done)
+        result = done.wait()
+        if isinstance(result, RunDone):
+            return result
+        # The quicker one gave no answer, so the other one decides.
+        other = second if first.dead else first
+        later = other.wait()
+        return later if isinstance(later, RunDone) else result
+
+    def _run(self, request: Request, digest: str, slot: Slot) -> RunOutcome:
+        self._runs += 1
+        task = f"{request_task_id(request.key, self._runs)}/{self._incarnation}"
+        return self._dispatcher.run(request, digest, task, slot)
+
+    def _checked(self, request: Request, digest: str, done: RunDone, worker: str) -> Outcome:
+        return checked_answer(request, digest, done, worker)
+
+    def _found(self, key: Key, found: FoundAnswer) -> RequestAnswer | Refused:
+        if found.state == "unknown":
+            return Refused(
+                ErrorKind.NOT_FOUND, "No instance that answers knows this request.", Ran.UNKNOWN
+            )
+        if found.state == "done" and found.kind:
+            ran = Ran(found.ran) if found.ran else None
+            return Refused(ErrorKind(found.kind), found.detail, ran)
+        return RequestAnswer(
+            key[0], key[1], found.answer, found.worker, found.state, found.digest
+        )
+
+    def _truthful(self, request: Request, refused: Refused, arrived: int) -> Refused:
+        """Say "not run" only where this instance can know it.
+
+        An earlier attempt may have run elsewhere. For a first attempt nothing else was sent; for
+        a later one a view confirmed after its arrival must hold no claim.
+        """
+        if refused.effective_ran != Ran.NOT_RUN or request.attempt == 1:
+            return refused
+        if refused.kind in (ErrorKind.INVALID, ErrorKind.DUPLICATE_REQUEST):
+            return Refused(refused.kind, refused.detail, Ran.UNKNOWN)
+        if not request.idempotent and self._never_claimed(request, arrived):
+            return refused
+        return Refused(
+            ErrorKind.OUTCOME_UNKNOWN,
+            f"Refused here ({refused.kind.value}: {refused.detail}), "
+            "but an earlier attempt may have run.",
+        )
+
+    def _never_claimed(self, request: Request, arrived: int) -> bool:
+        if self._wall() > request.deadline_ms + CLAIM_KEEP_MS:
+            return False
+        if not self._follower.wait_confirmed(arrived, LOG_WAIT_MS):
+            return False
+        claim = self._follower.view.claims.get(request.key)
+        return claim is None or claim.state == ClaimState.RELEASED
+
+
+def checked_answer(request: Request, digest: str, done: RunDone, worker: str) -> Outcome:
+    """Return the answer if it belongs to the request, else a refusal."""
+    matches = done.request_id == request.request_id and done.digest == digest
+    if matches:
+        return Done(done.answer, worker)
+    logger.error(
+        "A worker answered another request",
+        extra={"worker": worker, "request_id": request.request_id, "got": done.request_id},
+    )
+    check("I7 the answer matches its request id", False, f"{worker}: {done.request_id}")
+    return Refused(ErrorKind.OUTCOME_UNKNOWN, "The worker answered another request.")
+
+
+def _send_result(thread: object, done: Event) -> None:
+    """Pass the result of the first of several green threads on."""
+    if done.ready():
+        return
+    done.send(thread.wait())  # type: ignore[attr-defined]
+
+
+def _known(digest: str, outcome: Outcome) -> FoundAnswer:
+    if isinstance(outcome, Refused):
+        return FoundAnswer(
+            "done",
+            digest,
+            kind=outcome.kind.value,
+            detail=outcome.detail,
+            ran=outcome.effective_ran.value,
+        )
+    return FoundAnswer("done", digest, outcome.answer, outcome.worker)
+
+
+def _duplicate(request: Request) -> Refused:
+    return Refused(
+        ErrorKind.DUPLICATE_REQUEST,
+        f"Request {request.request_id} exists with another body.",
+    )
+
+
+def _kind_of(ran: Ran) -> ErrorKind:
+    return ErrorKind.FAILED if ran == Ran.RAN else ErrorKind.OUTCOME_UNKNOWN
+
+
+def _after_tries(refused: Refused, ran: Ran, detail: str) -> Refused:
+    """Return a refusal that also accounts for earlier tries of the same request."""
+    if ran == Ran.NOT_RUN:
+        return refused
+    return Refused(_kind_of(ran), f"{refused.detail} Last try: {detail}", ran)
+
+
+__all__ = ["NotSent", "RequestService", "RunRefused", "body_digest", "checked_answer"]
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/snapshots.py
@@ -0,0 +1,106 @@
+"""Writes snapshots of the view into the log before records expire."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.logclient import LogWriter
+from hornbeamfold.membership import Freshness, PeerTable
+from hornbeamfold.model.timing import LOG_WAIT_MS, SNAPSHOT_RANK_STEP_MS
+from hornbeamfold.telemetry import counter, get_logger
+from hornbeamfold.view import View, snapshot_parts
+
+SNAPSHOT_KEY = "snapshot"
+MAX_TAIL_RECORDS = 5_000
+CHECK_MS = 1_000
+
+logger = get_logger("hornbeamfold.daemon.snapshots")
+count_snapshots = counter("hornbeamfold_snapshots_written", "Snapshots written into the log")
+
+
+def snapshot_due(
+    view: View, snapshot_offset: int, snapshot_ms: int, now_ms: int, retention_ms: int
+) -> str:
+    """Return why a snapshot is due, or an empty string; `now_ms` is a Unix time."""
+    if view.offset == 0:
+        return ""
+    tail = view.offset - snapshot_offset
+    if tail > MAX_TAIL_RECORDS:
+        return f"{tail} records behind the last snapshot"
+    if tail and now_ms - snapshot_ms > retention_ms // 4:
+        return f"last snapshot is {now_ms - snapshot_ms} ms old"
+    return ""
+
+
+class Snapshotter:
+    """The snapshot duty of one instance."""
+
+    def __init__(
+        self,
+        follower: LogFollower,
+        writer: LogWriter,
+        peers: PeerTable,
+        freshness: Freshness,
+        clock: Clock,
+        wall: Clock,
+        retention_ms: int,
+        sleep: Callable[[float], object] = eventlet.sleep,
+    ) -> None:
+        self._follower = follower
+        self._writer = writer
+        self._peers = peers
+        self._freshness = freshness
+        self._clock = clock
+        self._wall = wall
+        self._retention_ms = retention_ms
+        self._sleep = sleep
+        self._first_seen_ms = wall()
+
+    def run(self) -> None:
+        """Check again and again whether a snapshot is due and whose turn it is."""
+        while True:
+            self._sleep(min(CHECK_MS, self._retention_ms // 16) / 1_000)
+            try:
+                self.step()
+            except Exception:
+                logger.exception("A snapshot failed")
+
+    def step(self) -> bool:
+        """Write a snapshot if one is due and it is this instance's turn."""
+        if not self._due():
+            return False
+        rank = self._peers.rank(SNAPSHOT_KEY, self._clock())
+        if rank > 0:
+            self._sleep(rank * SNAPSHOT_RANK_STEP_MS / 1_000)
+        reason = self._due()
+        if not reason:
+            return False
+        parts = snapshot_parts(self._follower.view)
+        # Each part is a record of its own, because a record has a size limit.
+        tickets = [self._writer.submit((part,)) for part in parts]
+        done = all(ticket.wait(5 * LOG_WAIT_MS) is not None for ticket in tickets)
+        if not done:
+            for ticket in tickets:
+                ticket.withdraw()
+        logger.info(
+            "Snapshot written" if done else "Snapshot not written in time",
+            extra={"reason": reason, "parts": len(parts), "offset": parts[0].as_of},
+        )
+        if done:
+            count_snapshots(1)
+        return done
+
+    def _due(self) -> str:
+        if not self._follower.ready or not self._freshness.log_reachable:
+            return ""
+        # Without any snapshot yet, the age counts from this instance's start.
+        snapshot_ms = self._follower.snapshot_ms or self._first_seen_ms
+        return snapshot_due(
+            self._follower.view,
+            self._follower.snapshot_offset,
+            snapshot_ms,
+            self._wall(),
+            self._retention_ms,
+        )
