Fold log records into the cluster view

Cause: instances need one view that follows from the log alone, with a verdict for each event. Change: View.apply folds configuration, jobs, member reports and claims into incremental indexes;

--- /dev/null
+++ b/libs/view/src/hornbeamfold/view/fold_claims.py
@@ -0,0 +1,121 @@
+"""Folds the claims on non-idempotent requests: the first claim in log order wins."""
+
+from dataclasses import replace
+
+from hornbeamfold.model import (
+    Claim,
+    ClaimDone,
+    ClaimMade,
+    ClaimMoved,
+    ClaimReleased,
+    ClaimState,
+    ErrorKind,
+    Refused,
+)
+from hornbeamfold.model.timing import MAX_DEADLINE_MS
+from hornbeamfold.view.state import State
+from hornbeamfold.view.verdict import Verdict, conflict, invalid, not_found, unknown_organisation
+
+# The clocks of callers, instances and the log service differ by less than this.
+CLOCK_SKEW_MS = 60_000
+
+
+def fold_claim_made(state: State, event: ClaimMade) -> Verdict:
+    """Claim a request that was not claimed before or whose claim was released."""
+    if event.organisation not in state.organisations:
+        return unknown_organisation(event.organisation)
+    if not event.request_id or not event.holder:
+        return invalid("a claim needs a request id and a holder")
+    before = state.claims.get((event.organisation, event.request_id))
+    if before is not None and before.digest != event.digest:
+        return Refused(
+            ErrorKind.DUPLICATE_REQUEST,
+            f"request {event.request_id!r} was sent before with another body",
+        )
+    if before is not None and before.state is not ClaimState.RELEASED:
+        return conflict(f"request {event.request_id!r} is claimed by {before.holder}")
+    if event.deadline_ms <= state.at_ms:
+        return Refused(ErrorKind.DEADLINE_PASSED, "the deadline passed before the claim")
+    if event.deadline_ms > state.at_ms + MAX_DEADLINE_MS + CLOCK_SKEW_MS:
+        return invalid(f"the deadline is more than {MAX_DEADLINE_MS} ms away")
+    refused = _check_worker(state, event.worker)
+    if refused is not None:
+        return refused
+    state.put_claim(
+        Claim(
+            organisation=event.organisation,
+            request_id=event.request_id,
+            digest=event.digest,
+            holder=event.holder,
+            worker=event.worker,
+            deadline_ms=event.deadline_ms,
+            epoch=1 if before is None else before.epoch + 1,
+            fence=state.folding_offset,
+        )
+    )
+    return None
+
+
+def fold_claim_moved(state: State, event: ClaimMoved) -> Verdict:
+    """Move an open claim to another worker under a new epoch.
+
+    The new epoch makes a release fail that was decided on a look-up at the earlier worker.
+    """
+    claim = _open_claim(state, event)
+    if isinstance(claim, Refused):
+        return claim
+    if claim.holder != event.holder:
+        return conflict(f"the claim is held by {claim.holder}, not by {event.holder}")
+    refused = _check_worker(state, event.worker)
+    if refused is not None:
+        return refused
+    state.put_claim(
+        replace(claim, worker=event.worker, epoch=claim.epoch + 1, fence=state.folding_offset)
+    )
+    return None
+
+
+def fold_claim_done(state: State, event: ClaimDone) -> Verdict:
+    """End an open claim with its answer or with the kind of its failure."""
+    claim = _open_claim(state, event)
+    if isinstance(claim, Refused):
+        return claim
+    state.put_claim(
+        replace(
+            claim,
+            state=ClaimState.DONE,
+            answer=event.answer,
+            kind=event.kind,
+            detail=event.detail,
+        )
+    )
+    return None
+
+
+def fold_claim_released(state: State, event: ClaimReleased) -> Verdict:
+    """End an open claim whose request certainly did not run."""
+    claim = _open_claim(state, event)
+    if isinstance(claim, Refused):
+        return claim
+    state.put_claim(replace(claim, state=ClaimState.RELEASED, detail=event.detail))
+    return None
+
+
+def _open_claim(state: State, event: ClaimMoved | ClaimDone | ClaimReleased) -> Claim | Refused:
+    claim = state.claims.get((event.organisation, event.request_id))
+    if claim is None:
+        return not_found(f"request {event.request_id!r} is not claimed")
+    if claim.epoch != event.epoch:
+        return conflict(f"the claim has epoch {claim.epoch}, not {event.epoch}")
+    if claim.state is not ClaimState.OPEN:
+        return conflict(f"the claim is {claim.state.value}")
+    return claim
+
+
+def _check_worker(state: State, name: str) -> Verdict:
+    capacity = state.capacities.by_name.get(name)
+    if capacity is None:
+        return not_found(f"worker {name!r} does not exist")
+    if not capacity.eligible:
+        return conflict(f"worker {name!r} drains or its availability zone is out of service")
+    return None
--- /dev/null
+++ b/libs/view/src/hornbeamfold/view/snapshot.py
@@ -0,0 +1,96 @@
+"""Splits the folded state into snapshot parts and restores a view from them."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Iterable
+from zlib import compress, decompress
+from zlib import error as zlib_error
+
+from hornbeamfold.model import Entry, SnapshotPart, check
+from hornbeamfold.view.encoding import decode_state, digest_of, encode_state
+from hornbeamfold.view.fold_config import GuaranteesFit, always_fits
+from hornbeamfold.view.view import View
+
+# A record holds at most 256 KiB; base64 text needs no escapes, so a part adds little to this.
+PART_CHARACTERS = 160 * 1024
+# Parts of interrupted snapshots are forgotten once this many newer snapshots have begun.
+MAX_INCOMPLETE = 4
+
+
+def snapshot_parts(view: View) -> tuple[SnapshotPart, ...]:
+    """Return the state of a view as the parts of a snapshot, each to go into its own record."""
+    encoded = encode_state(view.state)
+    digest = digest_of(encoded)
+    # Compression saves traffic between regions; state repeats the same field names.
+    text = b64encode(compress(encoded)).decode("ascii")
+    chunks = [text[at : at + PART_CHARACTERS] for at in range(0, len(text), PART_CHARACTERS)]
+    return tuple(
+        SnapshotPart(view.offset, digest, number, len(chunks), chunk)
+        for number, chunk in enumerate(chunks)
+    )
+
+
+class SnapshotCollector:
+    """Collects the parts of snapshots, which may come from several writers at once."""
+
+    def __init__(self, guarantees_fit: GuaranteesFit = always_fits) -> None:
+        self._guarantees_fit = guarantees_fit
+        self._incomplete: dict[tuple[int, str, int], dict[int, str]] = {}
+        self._newest = -1
+
+    def add(self, part: SnapshotPart) -> View | None:
+        """Add a part; return the restored view if it completes a newer snapshot than before."""
+        if part.as_of <= self._newest or not 0 <= part.part < part.parts:
+            return None
+        key = (part.as_of, part.digest, part.parts)
+        chunks = self._incomplete.setdefault(key, {})
+        chunks[part.part] = part.data
+        if len(chunks) < part.parts:
+            self._evict()
+            return None
+        del self._incomplete[key]
+        view = self._restore(part, "".join(chunks[number] for number in range(part.parts)))
+        if view is not None:
+            self._newest = part.as_of
+        return view
+
+    def _restore(self, part: SnapshotPart, text: str) -> View | None:
+        try:
+            encoded = decompress(b64decode(text))
+        except (ValueError, zlib_error):
+            encoded = b""
+        intact = digest_of(encoded) == part.digest
+        check("I8", intact, f"the snapshot as of {part.as_of} does not match its digest")
+        if not intact:
+            return None
+        return View(self._guarantees_fit, decode_state(encoded))
+
+    def _evict(self) -> None:
+        while len(self._incomplete) > MAX_INCOMPLETE:
+            del self._incomplete[min(self._incomplete)]
+
+
+def may_replace(current: View, restored: View) -> bool:
+    """Return whether a reader may go on with a restored view in place of its current one.
+
+    An older snapshot is refused; a newer one whose configuration goes back violates I6.
+    """
+    if restored.offset < current.offset:
+        return False
+    before = current.configuration_offset
+    after = restored.configuration_offset
+    check("I6", after >= before, f"a snapshot moves the configuration from {before} to {after}")
+    return after >= before
+
+
+def verify_snapshot(view: View, restored: View, tail: Iterable[Entry]) -> bool:
+    """Report (I8) and return whether a restored view, folded on to `view`, has its state.
+
+    `tail` holds the entries from the snapshot's offset up to the view's. They are needed
+    because a snapshot is read after later records were folded. This changes `restored`.
+    """
+    for entry in tail:
+        if entry.offset < view.offset:
+            restored.apply(entry)
+    agrees = restored.offset == view.offset and restored.digest() == view.digest()
+    check("I8", agrees, f"the state at {view.offset} differs from the snapshot's")
+    return agrees
--- /dev/null
+++ b/libs/view/src/hornbeamfold/view/state.py
@@ -0,0 +1,129 @@
+"""The folded state of the log and its indexes."""
+
+from collections import OrderedDict
+from heapq import heappop, heappush
+
+from hornbeamfold.model import (
+    ENDED_JOBS,
+    AvailabilityZone,
+    Claim,
+    Job,
+    JobState,
+    Organisation,
+    Worker,
+)
+from hornbeamfold.model.timing import CLAIM_KEEP_MS
+from hornbeamfold.view.capacity import Capacities, JobKey
+from hornbeamfold.view.estimates import Estimates
+from hornbeamfold.view.reservations import Reservations
+
+# Ended jobs stay visible to their callers for this long, by log time.
+ENDED_JOB_KEEP_MS = 3_600_000
+# A writer sends a record again for minutes at most, so a silent one can be forgotten after this.
+WRITER_KEEP_MS = 6 * 3_600_000
+
+ORDERED_JOBS = frozenset({JobState.QUEUED, JobState.PLACED})
+UNSETTLED_JOBS = frozenset({JobState.PLACED, JobState.STOPPING})
+
+
+class State:
+    """Everything that decides later verdicts; only the fold functions change it.
+
+    The order of each dict is part of the state: it is the same for all readers, and the expiry
+    of ended jobs, reservations and writers relies on it.
+    """
+
+    def __init__(self) -> None:
+        self.offset = 0
+        self.at_ms = 0
+        self.configuration_offset = -1
+        self.workers_version = 0
+        self.organisations: dict[str, Organisation] = {}
+        self.zones: dict[str, AvailabilityZone] = {}
+        self.workers: dict[str, Worker] = {}
+        self.draining: dict[str, None] = {}
+        self.jobs: dict[JobKey, Job] = {}
+        self.claims: dict[JobKey, Claim] = {}
+        # Time at which each ended job ended, oldest first. An OrderedDict finds its first item
+        # in constant time after many removals there, a dict does not.
+        self.ended: OrderedDict[JobKey, int] = OrderedDict()
+        # Last sequence number of each writer and its time, the most silent writer first.
+        self.writers: OrderedDict[str, tuple[int, int]] = OrderedDict()
+        self.capacities = Capacities()
+        self.reservations = Reservations()
+        self.estimates = Estimates()
+        # Indexes that follow from the above.
+        self.queued: dict[JobKey, Job] = {}
+        self.unsettled: dict[JobKey, Job] = {}
+        self._claim_expiry: list[tuple[int, JobKey]] = []
+
+    @property
+    def folding_offset(self) -> int:
+        """The offset of the entry that is being folded."""
+        return self.offset - 1
+
+    def is_eligible(self, worker: Worker) -> bool:
+        """Say whether new work may go to a worker."""
+        in_service = self.zones[worker.availability_zone].in_service
+        return in_service and worker.name not in self.draining
+
+    def put_job(self, job: Job) -> None:
+        """Add or replace a job and keep the indexes of job states."""
+        key = job.key
+        before = self.jobs.get(key)
+        if before is not None and before.state is not job.state and job.state in ORDERED_JOBS:
+            # Keeps the jobs in the order in which they were queued or placed, so that a
+            # restored view has the same order in its indexes.
+            del self.jobs[key]
+        self.jobs[key] = job
+        _index(self.queued, job, job.state is JobState.QUEUED)
+        _index(self.unsettled, job, job.state in UNSETTLED_JOBS)
+        if job.state in ENDED_JOBS and key not in self.ended:
+            self.ended[key] = self.at_ms
+
+    def put_claim(self, claim: Claim) -> None:
+        """Add or replace a claim."""
+        before = self.claims.get(claim.key)
+        self.claims[claim.key] = claim
+        if before is None or before.deadline_ms != claim.deadline_ms:
+            heappush(self._claim_expiry, (claim.deadline_ms + CLAIM_KEEP_MS, claim.key))
+
+    def accept_sequence(self, writer: str, seq: int) -> bool:
+        """Note a writer's record; return whether it was not folded before."""
+        last = self.writers.get(writer)
+        if last is not None and seq <= last[0]:
+            return False
+        self.writers[writer] = (seq, self.at_ms)
+        self.writers.move_to_end(writer)
+        return True
+
+    def expire(self) -> None:
+        """Drop what the time of the log has outdated."""
+        self.reservations.expire(self.at_ms)
+        self._expire_claims()
+        while self.ended:
+            key = next(iter(self.ended))
+            if self.ended[key] + ENDED_JOB_KEEP_MS > self.at_ms:
+                break
+            del self.ended[key]
+            del self.jobs[key]
+        while self.writers:
+            writer = next(iter(self.writers))
+            if self.writers[writer][1] + WRITER_KEEP_MS > self.at_ms:
+                break
+            del self.writers[writer]
+
+    def _expire_claims(self) -> None:
+        while self._claim_expiry and self._claim_expiry[0][0] <= self.at_ms:
+            _, key = heappop(self._claim_expiry)
+            claim = self.claims.get(key)
+            # A request that was claimed again has a later entry of its own.
+            if claim is not None and claim.deadline_ms + CLAIM_KEEP_MS <= self.at_ms:
+                del self.claims[key]
+
+
+def _index(index: dict[JobKey, Job], job: Job, belongs: bool) -> None:
+    if belongs:
+        index[job.key] = job
+        return
+    index.pop(job.key, None)
