Add placement: places, guarantees, reclaim and the whole decision

Cause: jobs need a decision function over the folded view. Change: place, is_feasible, guarantees_fit, entitled_keys, order_queue, plan, learn and fragmentation as plain functions; a rack is one bit line, so free runs are found with integer operations. Slots for unused guarantees are packed around the entitled jobs, and an entitled job may always reclaim its own. Processor time is not measured yet.

--- a/libs/placement/src/hornbeamfold/placement/__init__.py
+++ b/libs/placement/src/hornbeamfold/placement/__init__.py
@@ -1,1 +1,27 @@
-"""Gang placement, guarantees, reclaim, backfill and estimates."""
+"""Gang placement, guarantees, reclaim, backfill and estimates as plain functions."""
+
+from hornbeamfold.placement.draft import Decision, PlanningState
+from hornbeamfold.placement.estimates import estimated_ms, expected_end_ms, learn
+from hornbeamfold.placement.fit import NoPlacement, Placement, is_feasible, place
+from hornbeamfold.placement.fragmentation import Fragmentation, fragmentation
+from hornbeamfold.placement.guarantees import entitled_keys, guarantees_fit
+from hornbeamfold.placement.plan import plan
+from hornbeamfold.placement.queue import order_queue
+
+__all__ = [
+    "Decision",
+    "Fragmentation",
+    "NoPlacement",
+    "Placement",
+    "PlanningState",
+    "entitled_keys",
+    "estimated_ms",
+    "expected_end_ms",
+    "fragmentation",
+    "guarantees_fit",
+    "is_feasible",
+    "learn",
+    "order_queue",
+    "place",
+    "plan",
+]
--- /dev/null
+++ b/libs/placement/src/hornbeamfold/placement/draft.py
@@ -0,0 +1,106 @@
+"""The working state of one planning call: what is free after the decisions so far."""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass, field
+
+from hornbeamfold.model import (
+    Job,
+    JobJudged,
+    JobPlaced,
+    JobStopping,
+    Member,
+    Organisation,
+    Reservation,
+    StopReason,
+    WorkerCapacity,
+)
+from hornbeamfold.placement.blocks import FreeIndex
+from hornbeamfold.placement.fit import Placement, find_place
+from hornbeamfold.placement.tenants import Key, Tenants, find_tenants
+
+
+@dataclass(frozen=True)
+class PlanningState:
+    """What a decision depends on: the folded view at one offset of the log."""
+
+    jobs: tuple[Job, ...]
+    capacities: Mapping[str, WorkerCapacity]
+    organisations: Mapping[str, Organisation]
+    reservations: Collection[Reservation]
+    estimates: Mapping[Key, float]
+    offset: int
+
+
+@dataclass(frozen=True)
+class Decision:
+    """An event to append, and why, for the decision log."""
+
+    event: JobPlaced | JobStopping | JobJudged
+    reason: str
+
+
+@dataclass
+class Draft:
+    """The room that is left, and the decisions, while a plan is made."""
+
+    state: PlanningState
+    now_ms: int
+    index: FreeIndex
+    active: list[Job]
+    queued: list[Job]
+    reservations: dict[Key, Reservation]
+    entitled: frozenset[Key] = frozenset()
+    decisions: list[Decision] = field(default_factory=list)
+    placed: list[tuple[Job, tuple[Member, ...]]] = field(default_factory=list)
+    stopped: set[Key] = field(default_factory=set)
+    _tenants: Tenants | None = None
+
+    @property
+    def tenants(self) -> Tenants:
+        """The tenants of all workers, found when first needed."""
+        if self._tenants is None:
+            self._tenants = find_tenants(self.active, self.state.estimates, self.now_ms)
+        return self._tenants
+
+    def find(self, job: Job) -> Placement | None:
+        """Return a free place, preferably not on workers on which the job failed before."""
+        if not job.failed_on:
+            return find_place(self.index, job.spec.shape)
+        shut = [
+            Member(name, tuple(range(room.worker.accelerators)), 0, 0)
+            for name in sorted(set(job.failed_on))
+            if (room := self.index.rooms.get(name)) is not None and not room.held
+        ]
+        # A slot held for each closed worker also keeps tasks without accelerators away.
+        for member in shut:
+            self.index.rooms[member.worker].held_slots += self.index.rooms[member.worker].slots
+        self.index.hold(shut)
+        found = find_place(self.index, job.spec.shape)
+        for member in shut:
+            self.index.rooms[member.worker].held_slots -= self.index.rooms[member.worker].slots
+        self.index.hold(shut, -1)
+        return found or find_place(self.index, job.spec.shape)
+
+    def place(self, job: Job, members: tuple[Member, ...], reason: str) -> None:
+        """Decide a placement."""
+        self.index.take(members)
+        self.placed.append((job, members))
+        event = JobPlaced(
+            job.spec.organisation, job.spec.job_id, job.attempt, members, self.state.offset
+        )
+        self.decisions.append(Decision(event, reason))
+
+    def stop(
+        self,
+        job: Job,
+        why: StopReason,
+        beneficiary: Key | None,
+        window: tuple[Member, ...],
+        reason: str,
+    ) -> None:
+        """Decide a stop; the room stays taken until the members have ended."""
+        self.stopped.add(job.key)
+        event = JobStopping(
+            job.spec.organisation, job.spec.job_id, job.attempt, why, beneficiary, window
+        )
+        self.decisions.append(Decision(event, reason))
--- /dev/null
+++ b/libs/placement/src/hornbeamfold/placement/entitled.py
@@ -0,0 +1,183 @@
+"""Places for entitled jobs: free ones that keep the guarantees whole, or reclaimed ones."""
+
+from hornbeamfold.model import Job, Member, Reservation, StopReason
+from hornbeamfold.placement.blocks import FreeIndex, WorkerRoom, mask_of
+from hornbeamfold.placement.draft import Draft
+from hornbeamfold.placement.fit import find_place
+from hornbeamfold.placement.guarantees import entitled_active
+from hornbeamfold.placement.packing import Holder, Packing, pack_guarantees
+from hornbeamfold.placement.reclaim import cheapest_reclaim
+from hornbeamfold.placement.tenants import Key
+
+# A search for the cheapest window looks at all of them. Further reclaims follow in the next call,
+# which comes as soon as the decisions of this one are folded.
+RECLAIMS_PER_PLAN = 8
+
+
+def place_entitled(draft: Draft, jobs: list[Job]) -> None:
+    """Place the entitled queued jobs, or stop borrowers for them."""
+    if not jobs:
+        return
+    waiting = [job for job in jobs if not _use_reservation(draft, job)]
+    if not waiting:
+        return
+    packing = _packing(draft, waiting)
+    protected = frozenset(packing.slot_of) - packing.movable
+    reclaims = 0
+    for job in waiting:
+        if _place_free(draft, packing, job):
+            continue
+        if job.key in draft.reservations or reclaims >= RECLAIMS_PER_PLAN:
+            continue
+        reclaims += _reclaim(draft, packing, protected, job)
+
+
+def valid_reservations(draft: Draft) -> dict[Key, Reservation]:
+    """Return the reservations that can still be used, by beneficiary."""
+    queued = {job.key for job in draft.queued}
+    return {
+        reservation.beneficiary: reservation
+        for reservation in draft.state.reservations
+        if reservation.until_ms > draft.now_ms
+        and reservation.beneficiary in queued
+        and all(_becomes_free(draft, member) for member in reservation.members)
+    }
+
+
+def _becomes_free(draft: Draft, member: Member) -> bool:
+    """Return whether a reserved member's accelerators are free or held by jobs that stop."""
+    capacity = draft.state.capacities.get(member.worker)
+    if capacity is None or not capacity.eligible:
+        return False
+    cells = draft.tenants.on_cell.get(member.worker, {})
+    for cell in member.accelerators:
+        if capacity.free_mask >> cell & 1:
+            continue
+        tenant = cells.get(cell)
+        if tenant is None or not tenant.stopping:
+            return False
+    return True
+
+
+def _use_reservation(draft: Draft, job: Job) -> bool:
+    """Place a job into its reservation if that is free."""
+    reservation = draft.reservations.get(job.key)
+    if reservation is None:
+        return False
+    draft.index.hold(reservation.members, -1)
+    if draft.index.fits(reservation.members):
+        draft.place(job, reservation.members, "the window reclaimed for it is free")
+        return True
+    draft.index.hold(reservation.members)
+    return False
+
+
+def _packing(draft: Draft, waiting: list[Job]) -> Packing:
+    organisations = draft.state.organisations
+    holders = {
+        name: [Holder(job, tuple(status.member for status in job.members)) for job in jobs]
+        for name, jobs in entitled_active(organisations, draft.active).items()
+    }
+    for job in waiting:
+        reservation = draft.reservations.get(job.key)
+        members = reservation.members if reservation is not None else ()
+        holders.setdefault(job.spec.organisation, []).append(Holder(job, members))
+    for job, members in draft.placed:
+        holders.setdefault(job.spec.organisation, []).append(Holder(job, members))
+    return pack_guarantees(organisations, draft.state.capacities.values(), holders)
+
+
+def _place_free(draft: Draft, packing: Packing, job: Job) -> bool:
+    found = draft.find(job)
+    if found is None:
+        return False
+    if _admit(draft, packing, job, found.members):
+        draft.place(job, found.members, "free, and the other guarantees still fit around it")
+        return True
+    part = _part_of_slot(draft, packing, job)
+    if part and draft.index.fits(part):
+        _admit(draft, packing, job, part)
+        draft.place(job, part, "free within the room kept for this guarantee")
+        return True
+    if job.spec.checkpointable:
+        packing.index.take(found.members)
+        draft.place(job, found.members, "free, and it can be moved for another guarantee")
+        return True
+    return False
+
+
+def _admit(draft: Draft, packing: Packing, job: Job, members: tuple[Member, ...]) -> bool:
+    """Take members out of the room beside the guarantees, if they fit there."""
+    slot_id = packing.slot_of.get(job.key)
+    slot = packing.slots.get(slot_id) if slot_id is not None else None
+    if packing.index.fits(members):
+        packing.index.take(members)
+        return True
+    if slot_id is None or slot is None:
+        return False
+    guarantee = draft.state.organisations[slot_id[0]].guarantee[slot_id[1]]
+    if job.spec.shape != guarantee:
+        return _inside(members, slot)
+    packing.index.release(slot)
+    if packing.index.fits(members):
+        packing.index.take(members)
+        del packing.slots[slot_id]
+        return True
+    packing.index.take(slot)
+    return False
+
+
+def _inside(members: tuple[Member, ...], slot: tuple[Member, ...]) -> bool:
+    kept = {member.worker: member for member in slot}
+    for member in members:
+        room = kept.get(member.worker)
+        if room is None or not set(member.accelerators) <= set(room.accelerators):
+            return False
+        if member.processors > room.processors or member.memory_gb > room.memory_gb:
+            return False
+    return True
+
+
+def _part_of_slot(draft: Draft, packing: Packing, job: Job) -> tuple[Member, ...]:
+    """Return a place for the job within the slot of its guarantee."""
+    slot_id = packing.slot_of.get(job.key)
+    slot = packing.slots.get(slot_id, ()) if slot_id is not None else ()
+    rooms = []
+    for member in slot:
+        capacity = draft.state.capacities[member.worker]
+        mask = mask_of(member.accelerators)
+        room = WorkerRoom(capacity.worker, mask, member.processors, member.memory_gb, 1)
+        rooms.append((capacity.region, room))
+    found = find_place(FreeIndex(rooms), job.spec.shape) if rooms else None
+    return found.members if found is not None else ()
+
+
+def _reclaim(draft: Draft, packing: Packing, protected: frozenset[Key], job: Job) -> int:
+    """Stop the tenants of the cheapest window; return how many searches that took."""
+    slot_id = packing.slot_of.get(job.key)
+    part = _part_of_slot(draft, packing, job)
+    slot = packing.slots.get(slot_id, ()) if slot_id is not None else ()
+    exact = bool(slot) and part == slot
+    if exact:
+        packing.index.release(slot)
+    found = cheapest_reclaim(
+        job.spec.shape, packing.index, draft.index, draft.tenants, protected, part
+    )
+    if exact:
+        packing.index.take(slot)
+    if found is None:
+        return 1
+    _admit(draft, packing, job, found.window)
+    draft.index.hold(found.window)
+    for tenant in found.stops:
+        if tenant.job.key in draft.stopped:
+            continue
+        draft.stop(
+            tenant.job,
+            StopReason.RECLAIM,
+            job.key,
+            found.window,
+            f"cheapest window for {job.spec.organisation}/{job.spec.job_id} "
+            f"costs {found.cost / 1000:.0f} accelerator seconds",
+        )
+    return 1
--- /dev/null
+++ b/libs/placement/tests/placement_cases.py
@@ -0,0 +1,172 @@
+"""A small cluster that applies decisions and checks them, shared by the tests."""
+
+from dataclasses import replace
+
+from hornbeamfold.model import (
+    ACTIVE_JOBS,
+    Job,
+    JobJudged,
+    JobPlaced,
+    JobSpec,
+    JobState,
+    JobStopping,
+    MemberStatus,
+    Organisation,
+    Reservation,
+    Shape,
+    Span,
+    Worker,
+    WorkerCapacity,
+)
+from hornbeamfold.model.timing import RESERVATION_MS
+from hornbeamfold.placement import PlanningState, plan
+
+
+def workers(racks=3, per_rack=8, accelerators=8, slots=8):
+    """Return a worker for each place in each rack; each rack is its own availability zone."""
+    return tuple(
+        Worker(f"w{r}{p}", "", f"z{r}", f"r{r}", p, 64, 256, accelerators, slots, 64)
+        for r in range(racks)
+        for p in range(per_rack)
+    )
+
+
+def region_of(worker):
+    """Put the first two zones into one region and the others into a second one."""
+    return "east" if worker.availability_zone in ("z0", "z1") else "south"
+
+
+def spec(name, accelerators, organisation="a", span=Span.RACK, urgent=False, **values):
+    """Return the specification of a job."""
+    shape = Shape(accelerators, values.pop("processors", 1), values.pop("memory_gb", 1), span)
+    values.setdefault("declared_ms", 60_000)
+    return JobSpec(organisation, name, "render", "", shape, urgent=urgent, **values)
+
+
+class Cluster:
+    """Jobs on workers; `step` plans and applies the decisions, as the fold would."""
+
+    def __init__(self, case, machines, organisations=()):
+        self.case = case
+        self.machines = {worker.name: worker for worker in machines}
+        self.organisations = {item.name: item for item in organisations} or {"a": Organisation("a")}
+        self.jobs = {}
+        self.out = set()
+        self.reservations = {}
+        self.now = 0
+
+    def capacities(self):
+        """Return what is free; fails if an accelerator, a slot or memory is given twice."""
+        left = {
+            name: [(1 << w.accelerators) - 1, w.processors, w.memory_gb, w.slots]
+            for name, w in self.machines.items()
+        }
+        for job in self.jobs.values():
+            if job.state not in ACTIVE_JOBS:
+                continue
+            for status in job.members:
+                room = left[status.member.worker]
+                for index in status.member.accelerators:
+                    self.case.assertTrue(room[0] >> index & 1, f"accelerator twice: {job.key}")
+                    room[0] &= ~(1 << index)
+                room[1] -= status.member.processors
+                room[2] -= status.member.memory_gb
+                room[3] -= 1
+        for room in left.values():
+            self.case.assertGreaterEqual(min(room), 0)
+        return {
+            name: WorkerCapacity(w, region_of(w), *left[name], w.availability_zone not in self.out)
+            for name, w in self.machines.items()
+        }
+
+    def submit(self, item, **values):
+        """Put a job into the queue."""
+        self.jobs[item.key] = Job(item, values.pop("submitted_ms", self.now), **values)
+
+    def step(self):
+        """Plan once and apply the decisions; return their events."""
+        self.reservations = {
+            key: item for key, item in self.reservations.items() if item.until_ms > self.now
+        }
+        state = PlanningState(
+            tuple(self.jobs.values()),
+            self.capacities(),
+            self.organisations,
+            tuple(self.reservations.values()),
+            {},
+            7,
+        )
+        decisions = plan(state, self.now)
+        for decision in decisions:
+            self.case.assertTrue(decision.reason)
+            self._apply(decision.event)
+        self.capacities()
+        return [decision.event for decision in decisions]
+
+    def _apply(self, event):
+        key = (event.organisation, event.job_id)
+        job = self.jobs[key]
+        if isinstance(event, JobJudged):
+            self.jobs[key] = replace(job, infeasible=event.infeasible)
+        elif isinstance(event, JobPlaced):
+            self.case.assertIs(job.state, JobState.QUEUED)
+            self._check_reserved(event)
+            self.check_adjacent(job.spec.shape, event.members)
+            self.reservations.pop(key, None)
+            members = tuple(MemberStatus(member) for member in event.members)
+            self.jobs[key] = replace(
+                job, state=JobState.RUNNING, members=members, running_ms=self.now
+            )
+        elif isinstance(event, JobStopping):
+            self.case.assertIn(job.state, (JobState.PLACED, JobState.RUNNING))
+            self.jobs[key] = replace(job, state=JobState.STOPPING, stopping_ms=self.now)
+            if event.beneficiary:
+                self.reservations[event.beneficiary] = Reservation(
+                    event.beneficiary, event.window, self.now + RESERVATION_MS
+                )
+
+    def _check_reserved(self, event):
+        for reservation in self.reservations.values():
+            if reservation.beneficiary == (event.organisation, event.job_id):
+                continue
+            kept = {(m.worker, i) for m in reservation.members for i in m.accelerators}
+            used = {(m.worker, i) for m in event.members for i in m.accelerators}
+            self.case.assertFalse(kept & used, "a reserved accelerator was given away")
+
+    def check_adjacent(self, shape, members):
+        """Fail unless the members are a whole gang as near to each other as its span asks."""
+        places = [self.machines[member.worker] for member in members]
+        self.case.assertEqual(len({w.name for w in places}), len(places))
+        self.case.assertEqual(sum(len(m.accelerators) for m in members), shape.accelerators)
+        self.case.assertEqual(len({region_of(w) for w in places}), 1)
+        if shape.span <= Span.ZONE:
+            self.case.assertEqual(len({w.availability_zone for w in places}), 1)
+        if shape.span <= Span.RACK and shape.accelerators:
+            cells = sorted(
+                w.position * w.accelerators + index
+                for w, m in zip(places, members, strict=True)
+                for index in m.accelerators
+            )
+            self.case.assertEqual(cells, list(range(cells[0], cells[0] + len(cells))))
+        if shape.span is Span.WORKER:
+            self.case.assertEqual(len(members), 1)
+
+    def finish(self, key):
+        """End an active job: a stopped one is queued again, another one has finished."""
+        job = self.jobs[key]
+        if job.state is JobState.STOPPING:
+            self.jobs[key] = replace(
+                job, state=JobState.QUEUED, members=(), attempt=job.attempt + 1, running_ms=0
+            )
+        else:
+            self.jobs[key] = replace(job, state=JobState.FINISHED, members=())
+
+    def finish_stopping(self):
+        """End all jobs that are being stopped."""
+        for key, job in list(self.jobs.items()):
+            if job.state is JobState.STOPPING:
+                self.finish(key)
+
+    def running(self, key):
+        """Return whether a job runs."""
+        return self.jobs[key].state is JobState.RUNNING
--- /dev/null
+++ b/libs/placement/tests/test_plan.py
@@ -0,0 +1,93 @@
+"""Tests of the whole decision."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from placement_cases import Cluster, spec, workers
+
+from hornbeamfold.model import JobJudged, JobPlaced, JobStopping, Organisation, Shape, Span
+
+JOBS = st.lists(
+    st.tuples(
+        st.integers(0, 20),
+        st.sampled_from(Span),
+        st.booleans(),
+        st.booleans(),
+        st.sampled_from("abc"),
+        st.integers(1, 90),
+    ),
+    max_size=60,
+)
+
+
+class PlanTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=60, deadline=None)
+    @given(JOBS, st.lists(st.integers(0, 59), max_size=30))
+    def test_random_runs_are_consistent(self, jobs, ends):
+        """Guards against accelerators given twice, torn gangs and broken adjacency."""
+        organisations = (
+            Organisation("a", (Shape(8, 8, 8), Shape(3))),
+            Organisation("b", (Shape(16, 16, 16, Span.ZONE),)),
+            Organisation("c"),
+        )
+        cluster = Cluster(self, workers(racks=3, per_rack=3), organisations)
+        for number, (size, span, urgent, checkpointable, name, processors) in enumerate(jobs):
+            item = spec(
+                str(number), size, name, span, urgent,
+                checkpointable=checkpointable, processors=processors,
+            )  # fmt: skip
+            cluster.submit(item)
+            if number % 4 == 0:
+                cluster.step()
+            if number % 8 == 0:
+                cluster.finish_stopping()
+        keys = list(cluster.jobs)
+        for number in ends:
+            cluster.now += 10_000
+            if number < len(keys) and cluster.jobs[keys[number]].members:
+                cluster.finish(keys[number])
+            cluster.step()
+
+    def test_infeasible_is_judged_once_and_again_after_a_change(self):
+        """Guards against a job that waits for ever for a topology that does not exist."""
+        cluster = Cluster(self, workers(racks=1, per_rack=2))
+        cluster.submit(spec("large", 17))
+        cluster.submit(spec("fits", 16))
+        judged = [e for e in cluster.step() if isinstance(e, JobJudged)]
+        self.assertEqual([e.job_id for e in judged], ["large"])
+        self.assertIn("17 accelerators", judged[0].infeasible)
+        self.assertEqual(cluster.step(), [])
+        cluster.machines |= {w.name: w for w in workers(racks=1, per_rack=3)}
+        judged = [e for e in cluster.step() if isinstance(e, JobJudged)]
+        self.assertEqual(judged[0].infeasible, "")
+
+    def test_no_place_in_a_zone_that_is_out(self):
+        """Guards against new work in an availability zone that operators took out."""
+        cluster = Cluster(self, workers(racks=2, per_rack=1))
+        cluster.out = {"z0"}
+        cluster.submit(spec("one", 8))
+        placed = [e for e in cluster.step() if isinstance(e, JobPlaced)]
+        self.assertEqual([m.worker for m in placed[0].members], ["w10"])
+
+    def test_reclaim_stops_once_and_gives_the_window(self):
+        """Guards against a second round of stops and a window that goes to someone else."""
+        cluster = Cluster(
+            self, workers(racks=1, per_rack=2), (Organisation("a", (Shape(8),)), Organisation("b"))
+        )
+        cluster.submit(spec("b1", 8, "b", checkpointable=True))
+        cluster.submit(spec("b2", 8, "b"))
+        cluster.step()
+        cluster.now = 60_000
+        cluster.submit(spec("a1", 8, "a"))
+        stops = [e for e in cluster.step() if isinstance(e, JobStopping)]
+        self.assertEqual([e.job_id for e in stops], ["b1"])
+        self.assertEqual(stops[0].beneficiary, ("a", "a1"))
+        self.assertEqual(cluster.step(), [])
+        cluster.finish_stopping()
+        cluster.step()
+        self.assertTrue(cluster.running(("a", "a1")))
+
+
+if __name__ == "__main__":
+    unittest.main()
