--- /dev/null
+++ b/libs/telemetry/src/hornbeamfold/telemetry/logs.py
@@ -0,0 +1,39 @@
+"""JSON log lines on stderr, one object a line."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+DECISIONS = "hornbeamfold.decision"
+
+
+def configure_logging(instance: str, level: str) -> None:
+    """Write all log records of this process to stderr as JSON lines.
+
+    Each line has `time` (UTC), `instance`, `level`, `logger`, `event` and the extra fields.
+    """
+    formatter = JsonFormatter(
+        "%(levelname)s %(name)s %(message)s",
+        rename_fields={"levelname": "level", "name": "logger", "message": "event"},
+        static_fields={"instance": instance},
+        timestamp="time",
+    )
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+    logging.captureWarnings(True)
+
+
+def get_logger(name: str) -> logging.Logger:
+    """Return the logger of a module; fields go into `extra`, the event into the message."""
+    return logging.getLogger(name)
+
+
+def log_decision(kind: str, choice: object, reason: str, **inputs: object) -> None:
+    """Write one line that says what was decided, from which inputs and why."""
+    # The inputs are nested because logging refuses extra fields named like its own attributes.
+    fields = {"decision": kind, "choice": choice, "reason": reason, "inputs": inputs}
+    logging.getLogger(DECISIONS).info("decision", extra=fields)
