--- /dev/null
+++ b/libs/rpc/src/hornbeamfold/rpc/operator_adapters.py
@@ -0,0 +1,247 @@
+"""Adapters between messages and data classes for configuration and what operators look at."""
+
+from types import MappingProxyType
+
+from hornbeamfold.model.errors import Refused
+from hornbeamfold.model.status import Change, Configuration, InstanceStatus, PlacementList
+from hornbeamfold.model.topology import AvailabilityZone, Organisation, Shape, Worker
+from hornbeamfold.model.work import Job, JobSpec, JobState
+from hornbeamfold.rpc import v1_pb2
+from hornbeamfold.rpc.adapters import read_members, read_shape, write_members, write_shape
+from hornbeamfold.rpc.fields import MAX_ACCELERATORS, MAX_SIZE, Faults
+
+WorkersChange = tuple[tuple[Worker, ...], tuple[str, ...], int]
+
+
+def read_organisation(message: v1_pb2.Organisation) -> Organisation | Refused:
+    """Read an organisation; its version is the expected one."""
+    faults = Faults()
+    organisation = _read_organisation(message, faults)
+    return faults.refused() or organisation
+
+
+def _read_organisation(message: v1_pb2.Organisation, faults: Faults) -> Organisation:
+    guarantee: list[Shape] = []
+    for index, shape in enumerate(message.guarantee):
+        guarantee.append(read_shape(shape, f"guarantee[{index}]", faults))
+    return Organisation(
+        name=faults.name("name", message.name),
+        guarantee=tuple(guarantee),
+        weight=faults.weight("weight", message.weight),
+        version=faults.whole("version", message.version, 0),
+    )
+
+
+def write_organisation(organisation: Organisation) -> v1_pb2.Organisation:
+    """Write an organisation."""
+    return v1_pb2.Organisation(
+        name=organisation.name,
+        guarantee=[write_shape(shape) for shape in organisation.guarantee],
+        weight=organisation.weight,
+        version=organisation.version,
+    )
+
+
+def read_organisation_ref(message: v1_pb2.OrganisationRef) -> tuple[str, int] | Refused:
+    """Read the name and the expected version of an organisation."""
+    faults = Faults()
+    name = faults.name("name", message.name)
+    version = faults.whole("version", message.version, 0)
+    return faults.refused() or (name, version)
+
+
+def read_zone(message: v1_pb2.AvailabilityZone) -> AvailabilityZone | Refused:
+    """Read an availability zone; its version is the expected one."""
+    faults = Faults()
+    zone = _read_zone(message, faults)
+    return faults.refused() or zone
+
+
+def _read_zone(message: v1_pb2.AvailabilityZone, faults: Faults) -> AvailabilityZone:
+    return AvailabilityZone(
+        name=faults.name("name", message.name),
+        region=faults.name("region", message.region),
+        in_service=message.in_service,
+        version=faults.whole("version", message.version, 0),
+    )
+
+
+def write_zone(zone: AvailabilityZone) -> v1_pb2.AvailabilityZone:
+    """Write an availability zone."""
+    return v1_pb2.AvailabilityZone(
+        name=zone.name, region=zone.region, in_service=zone.in_service, version=zone.version
+    )
+
+
+def read_drain(message: v1_pb2.DrainTargetRequest) -> tuple[str, bool, int] | Refused:
+    """Read the start or the end of a drain."""
+    faults = Faults()
+    worker = faults.name("worker", message.worker)
+    version = faults.whole("version", message.version, 0)
+    return faults.refused() or (worker, message.draining, version)
+
+
+def read_workers(message: v1_pb2.PutWorkersRequest) -> WorkersChange | Refused:
+    """Read a change of the worker set."""
+    faults = Faults()
+    if not message.workers and not message.removed:
+        faults.add("workers", "must name a worker unless removed does")
+    workers: list[Worker] = []
+    for index, worker in enumerate(message.workers):
+        workers.append(_read_worker(worker, f"workers[{index}]", faults))
+    removed: list[str] = []
+    for index, name in enumerate(message.removed):
+        removed.append(faults.name(f"removed[{index}]", name))
+    faults.unique("workers and removed", [worker.name for worker in workers] + removed)
+    version = faults.whole("version", message.version, 0)
+    return faults.refused() or (tuple(workers), tuple(removed), version)
+
+
+def _read_worker(message: v1_pb2.Worker, path: str, faults: Faults) -> Worker:
+    return Worker(
+        name=faults.name(f"{path}.name", message.name),
+        address=faults.address(f"{path}.address", message.address),
+        availability_zone=faults.name(f"{path}.availability_zone", message.availability_zone),
+        rack=faults.name(f"{path}.rack", message.rack),
+        position=faults.whole(f"{path}.position", message.position, 0, MAX_SIZE),
+        processors=faults.whole(f"{path}.processors", message.processors, 0, MAX_SIZE),
+        memory_gb=faults.whole(f"{path}.memory_gb", message.memory_gb, 0, MAX_SIZE),
+        accelerators=faults.whole(
+            f"{path}.accelerators", message.accelerators, 0, MAX_ACCELERATORS
+        ),
+        slots=faults.whole(f"{path}.slots", message.slots, 1, MAX_SIZE),
+        connections=faults.whole(f"{path}.connections", message.connections, 1, MAX_SIZE),
+    )
+
+
+def write_workers(change: WorkersChange) -> v1_pb2.PutWorkersRequest:
+    """Write a change of the worker set."""
+    workers, removed, version = change
+    return v1_pb2.PutWorkersRequest(
+        workers=[_write_worker(worker, False) for worker in workers],
+        removed=removed,
+        version=version,
+    )
+
+
+def _write_worker(worker: Worker, draining: bool) -> v1_pb2.Worker:
+    return v1_pb2.Worker(
+        name=worker.name,
+        address=worker.address,
+        availability_zone=worker.availability_zone,
+        rack=worker.rack,
+        position=worker.position,
+        processors=worker.processors,
+        memory_gb=worker.memory_gb,
+        accelerators=worker.accelerators,
+        slots=worker.slots,
+        connections=worker.connections,
+        draining=draining,
+    )
+
+
+def write_change(change: Change) -> v1_pb2.Change:
+    """Write an accepted change."""
+    return v1_pb2.Change(offset=change.offset, version=change.version)
+
+
+def read_change(message: v1_pb2.Change) -> Change:
+    """Read an accepted change."""
+    return Change(message.offset, message.version)
+
+
+def write_configuration(configuration: Configuration) -> v1_pb2.Configuration:
+    """Write the configuration in force."""
+    draining = configuration.draining
+    return v1_pb2.Configuration(
+        offset=configuration.offset,
+        organisations=[write_organisation(one) for one in configuration.organisations],
+        zones=[write_zone(zone) for zone in configuration.zones],
+        workers=[_write_worker(one, one.name in draining) for one in configuration.workers],
+        workers_version=configuration.workers_version,
+        instances=dict(configuration.instances),
+        guarantees_suspended=configuration.guarantees_suspended,
+    )
+
+
+def read_configuration(message: v1_pb2.Configuration) -> Configuration:
+    """Read the configuration in force."""
+    unused = Faults()
+    return Configuration(
+        offset=message.offset,
+        organisations=tuple(_read_organisation(one, unused) for one in message.organisations),
+        zones=tuple(_read_zone(zone, unused) for zone in message.zones),
+        workers=tuple(_read_worker(worker, "", unused) for worker in message.workers),
+        draining=frozenset(worker.name for worker in message.workers if worker.draining),
+        workers_version=message.workers_version,
+        instances=MappingProxyType(dict(message.instances)),
+        guarantees_suspended=message.guarantees_suspended,
+    )
+
+
+def write_placements(placements: PlacementList) -> v1_pb2.ListPlacementsReply:
+    """Write the active jobs with what is free."""
+    reply = v1_pb2.ListPlacementsReply(
+        free_accelerators=placements.free_accelerators,
+        largest_free_run=placements.largest_free_run,
+        offset=placements.offset,
+    )
+    for job in placements.jobs:
+        reply.placements.add(
+            organisation=job.spec.organisation,
+            job_id=job.spec.job_id,
+            state=job.state.value,
+            members=write_members(job.members),
+        )
+    return reply
+
+
+def read_placements(message: v1_pb2.ListPlacementsReply) -> PlacementList:
+    """Read the active jobs; their shape is what their members hold."""
+    jobs: list[Job] = []
+    for placement in message.placements:
+        members = read_members(placement.members)
+        shape = Shape(
+            accelerators=sum(len(status.member.accelerators) for status in members),
+            processors=sum(status.member.processors for status in members),
+            memory_gb=sum(status.member.memory_gb for status in members),
+        )
+        spec = JobSpec(placement.organisation, placement.job_id, "", "", shape, 0)
+        jobs.append(Job(spec, 0, JobState(placement.state), members=members))
+    return PlacementList(
+        tuple(jobs), message.free_accelerators, message.largest_free_run, message.offset
+    )
+
+
+def write_instances(instances: tuple[InstanceStatus, ...]) -> v1_pb2.ListInstancesReply:
+    """Write the entry instances."""
+    reply = v1_pb2.ListInstancesReply()
+    for instance in instances:
+        reply.instances.add(
+            name=instance.name,
+            address=instance.address,
+            availability_zone=instance.availability_zone,
+            state=instance.state,
+            log_offset=instance.log_offset,
+            configuration_offset=instance.configuration_offset,
+            confirmed_age_ms=instance.confirmed_age_ms,
+            log_reachable=instance.log_reachable,
+        )
+    return reply
+
+
+def read_instances(message: v1_pb2.ListInstancesReply) -> tuple[InstanceStatus, ...]:
+    """Read the entry instances."""
+    return tuple(
+        InstanceStatus(
+            name=instance.name,
+            address=instance.address,
+            availability_zone=instance.availability_zone,
+            state=instance.state,
+            log_offset=instance.log_offset,
+            configuration_offset=instance.configuration_offset,
+            confirmed_age_ms=instance.confirmed_age_ms,
+            log_reachable=instance.log_reachable,
+        )
+        for instance in message.instances
+    )
--- /dev/null
+++ b/libs/rpc/src/hornbeamfold/rpc/services.py
@@ -0,0 +1,220 @@
+"""The gRPC handlers: each reads a message, calls the daemon with data classes and answers."""
+
+# ruff: noqa: N802
+# The method names are those of the schema.
+
+from asyncio import timeout
+from functools import partial
+from time import time_ns
+from typing import Any
+
+from eventlet import spawn
+
+from hornbeamfold.model.errors import ErrorKind, Refused
+from hornbeamfold.model.timing import KNOWN_MS
+from hornbeamfold.rpc import v1_pb2
+from hornbeamfold.rpc.adapters import (
+    read_answer_query,
+    read_job_filter,
+    read_job_key,
+    read_job_spec,
+    read_request,
+    read_request_key,
+    write_job_list,
+    write_job_status,
+    write_request_answer,
+)
+from hornbeamfold.rpc.calls import answer, answer_stream, answer_to_end, guarded
+from hornbeamfold.rpc.errors import send_refused
+from hornbeamfold.rpc.frontend import Frontend, PeerFrontend
+from hornbeamfold.rpc.operator_adapters import (
+    read_drain,
+    read_organisation,
+    read_organisation_ref,
+    read_workers,
+    read_zone,
+    write_change,
+    write_configuration,
+    write_instances,
+    write_placements,
+)
+from hornbeamfold.rpc.peer_adapters import (
+    read_heartbeat,
+    read_records_query,
+    write_found_answer,
+    write_relayed_entries,
+)
+from hornbeamfold.rpc.v1_grpc import JobsBase, OperatorsBase, PeersBase, RequestsBase
+
+
+def build_services(
+    frontend: Frontend, peer_frontend: PeerFrontend
+) -> tuple[RequestsBase, JobsBase, OperatorsBase, PeersBase]:
+    """Return the handlers of all services."""
+    return _Requests(frontend), _Jobs(frontend), _Operators(frontend), _Peers(peer_frontend)
+
+
+def _now_ms() -> int:
+    return time_ns() // 1_000_000
+
+
+class _Requests(RequestsBase):
+    """Requests of callers."""
+
+    def __init__(self, frontend: Frontend) -> None:
+        self._frontend = frontend
+
+    async def Submit(self, stream: Any) -> None:
+        await answer_to_end(
+            stream,
+            lambda message: read_request(message, _now_ms()),
+            self._frontend.submit,
+            write_request_answer,
+        )
+
+    async def GetAnswer(self, stream: Any) -> None:
+        await answer(
+            stream,
+            read_answer_query,
+            lambda query: self._frontend.get_answer(*query),
+            write_request_answer,
+        )
+
+    async def Cancel(self, stream: Any) -> None:
+        await answer_to_end(
+            stream,
+            read_request_key,
+            lambda key: self._frontend.cancel(*key),
+            lambda cancelled: v1_pb2.CancelReply(state="cancelled"),
+        )
+
+
+class _Jobs(JobsBase):
+    """Gang jobs of callers."""
+
+    def __init__(self, frontend: Frontend) -> None:
+        self._frontend = frontend
+
+    async def SubmitJob(self, stream: Any) -> None:
+        await answer_to_end(stream, read_job_spec, self._frontend.submit_job, write_job_status)
+
+    async def GetJob(self, stream: Any) -> None:
+        await answer(
+            stream, read_job_key, lambda key: self._frontend.get_job(*key), write_job_status
+        )
+
+    async def CancelJob(self, stream: Any) -> None:
+        await answer_to_end(
+            stream, read_job_key, lambda key: self._frontend.cancel_job(*key), write_job_status
+        )
+
+    async def ListJobs(self, stream: Any) -> None:
+        await answer(
+            stream,
+            read_job_filter,
+            lambda wanted: self._frontend.list_jobs(*wanted),
+            write_job_list,
+        )
+
+    async def FollowJob(self, stream: Any) -> None:
+        await answer_stream(
+            stream, read_job_key, lambda key: self._frontend.follow_job(*key), write_job_status
+        )
+
+
+class _Operators(OperatorsBase):
+    """Configuration and the state of the system."""
+
+    def __init__(self, frontend: Frontend) -> None:
+        self._frontend = frontend
+
+    async def PutOrganisation(self, stream: Any) -> None:
+        await answer_to_end(
+            stream, read_organisation, self._frontend.put_organisation, write_change
+        )
+
+    async def RemoveOrganisation(self, stream: Any) -> None:
+        await answer_to_end(
+            stream,
+            read_organisation_ref,
+            lambda ref: self._frontend.remove_organisation(*ref),
+            write_change,
+        )
+
+    async def SetZone(self, stream: Any) -> None:
+        await answer_to_end(stream, read_zone, self._frontend.set_zone, write_change)
+
+    async def DrainTarget(self, stream: Any) -> None:
+        await answer_to_end(
+            stream, read_drain, lambda drain: self._frontend.drain_target(*drain), write_change
+        )
+
+    async def PutWorkers(self, stream: Any) -> None:
+        await answer_to_end(
+            stream, read_workers, lambda change: self._frontend.put_workers(*change), write_change
+        )
+
+    async def GetConfiguration(self, stream: Any) -> None:
+        await answer(
+            stream, _nothing, lambda _: self._frontend.get_configuration(), write_configuration
+        )
+
+    async def ListPlacements(self, stream: Any) -> None:
+        await answer(stream, _nothing, lambda _: self._frontend.list_placements(), write_placements)
+
+    async def ListInstances(self, stream: Any) -> None:
+        await answer(stream, _nothing, lambda _: self._frontend.list_instances(), write_instances)
+
+
+class _Peers(PeersBase):
+    """Heartbeats and reads of peers; keeps the newest heartbeat stream of each peer."""
+
+    def __init__(self, frontend: PeerFrontend) -> None:
+        self._frontend = frontend
+        self._newest: dict[str, Any] = {}
+
+    async def Heartbeats(self, stream: Any) -> None:
+        name = ""
+        try:
+            while True:
+                # Without a bound, a peer lost behind a partition would hold its stream for hours.
+                async with timeout(KNOWN_MS / 1_000):
+                    message = await stream.recv_message()
+                if message is None:
+                    await stream.send_message(v1_pb2.HeartbeatsClosed())
+                    return
+                heartbeat = read_heartbeat(message)
+                if isinstance(heartbeat, Refused):
+                    await send_refused(stream, heartbeat)
+                    return
+                name = heartbeat.name
+                self._newest[name] = stream
+                await spawn(guarded(partial(self._frontend.heartbeat, heartbeat)))
+        except TimeoutError:
+            silent = Refused(ErrorKind.DEADLINE_PASSED, f"no heartbeat within {KNOWN_MS} ms")
+            await send_refused(stream, silent)
+        finally:
+            # An older stream may break long after the peer opened a new one.
+            if self._newest.get(name) is stream:
+                del self._newest[name]
+                spawn(guarded(partial(self._frontend.peer_disconnected, name)))
+
+    async def FindAnswer(self, stream: Any) -> None:
+        await answer(
+            stream,
+            read_request_key,
+            lambda key: self._frontend.find_answer(*key),
+            write_found_answer,
+        )
+
+    async def ReadRecords(self, stream: Any) -> None:
+        await answer(
+            stream,
+            read_records_query,
+            lambda query: self._frontend.read_records(*query),
+            write_relayed_entries,
+        )
+
+
+def _nothing(message: Any) -> None:
+    """Read a message without fields."""
--- /dev/null
+++ b/libs/rpc/tests/rpc_fake_instance.py
@@ -0,0 +1,192 @@
+"""A process that serves a fake frontend; the tests of rpc and of the tool call it.
+
+It prints its address and ends on SIGTERM. What happened is read back as the answer of the request
+("probe", "events").
+"""
+
+import os
+
+os.environ["EVENTLET_HUB"] = "asyncio"
+
+import logging
+import signal
+import sys
+from collections.abc import Iterator
+from dataclasses import replace
+from json import dumps
+from types import MappingProxyType
+
+import eventlet
+from eventlet.event import Event
+from eventlet.hubs import get_hub
+
+from hornbeamfold.model import status as shown
+from hornbeamfold.model.errors import ErrorKind, Ran, Refused
+from hornbeamfold.model.topology import AvailabilityZone, Organisation, Worker
+from hornbeamfold.model.work import Job, JobSpec, JobState, Request
+from hornbeamfold.rpc.server import serve
+from hornbeamfold.rpc.services import build_services
+
+CONFLICT = Refused(ErrorKind.CONFLICT, "another operator changed it")
+
+
+class FakeFrontend:
+    """Answers from memory and keeps a list of what happened."""
+
+    def __init__(self) -> None:
+        self.events: list[str] = []
+        self.gates: dict[str, Event] = {}
+        self.jobs: dict[tuple[str, str], Job] = {}
+        self.organisations: dict[str, Organisation] = {}
+        self.zones = {"sousse": AvailabilityZone("sousse", "sahel-east", True, 3)}
+        self.workers: dict[str, Worker] = {}
+        self.workers_version = 0
+        self.draining: frozenset[str] = frozenset()
+
+    def submit(self, request: Request) -> shown.RequestAnswer | Refused:
+        self.events.append(f"submitted {request.request_id}")
+        if request.kind == "raise":
+            raise RuntimeError("broken frontend")
+        if request.kind == "refuse":
+            return Refused(ErrorKind(request.body), "détail", Ran.UNKNOWN)
+        if request.kind == "wait":
+            self._wait(request.request_id)
+        if request.kind == "release":
+            self.gates[request.body].send()
+        return shown.RequestAnswer(*request.key, request.body, "worker-1", "done", "d")
+
+    def _wait(self, name: str) -> None:
+        self.gates[name] = Event()
+        try:
+            self.gates[name].wait()
+            self.events.append(f"finished {name}")
+        except BaseException as error:
+            self.events.append(f"{type(error).__name__} {name}")
+            raise
+
+    def get_answer(self, organisation: str, request_id: str, wait_ms: int):  # type: ignore[no-untyped-def]
+        if organisation == "probe":
+            return shown.RequestAnswer("probe", request_id, dumps(self.events), "", "done", "")
+        if wait_ms:
+            self._wait(request_id)
+        return Refused(ErrorKind.NOT_FOUND, f"nothing is known of {request_id}")
+
+    def cancel(self, organisation: str, request_id: str) -> Refused | None:
+        return None if request_id == "queued" else Refused(ErrorKind.CONFLICT, "dispatched")
+
+    def submit_job(self, spec: JobSpec) -> shown.JobStatus:
+        self.jobs[spec.key] = Job(spec, 1_000)
+        return shown.JobStatus(self.jobs[spec.key], 5, True)
+
+    def get_job(self, organisation: str, job_id: str) -> shown.JobStatus | Refused:
+        job = self.jobs.get((organisation, job_id))
+        return shown.JobStatus(job, 5, True) if job else Refused(ErrorKind.NOT_FOUND, "no job")
+
+    def cancel_job(self, organisation: str, job_id: str) -> shown.JobStatus | Refused:
+        return self.get_job(organisation, job_id)
+
+    def list_jobs(self, organisation: str, state: str) -> shown.JobList:
+        jobs = [job for job in self.jobs.values() if organisation in ("", job.spec.organisation)]
+        return shown.JobList(tuple(shown.JobStatus(job, 5, True) for job in jobs), 5)
+
+    def follow_job(self, organisation: str, job_id: str) -> Iterator[shown.JobStatus | Refused]:
+        try:
+            status = self.get_job(organisation, job_id)
+            yield status
+            if isinstance(status, Refused):
+                return
+            if job_id == "endless":
+                self._wait(job_id)
+            if job_id == "broken":
+                raise RuntimeError("broken iterator")
+            yield replace(status, job=replace(status.job, state=JobState.FINISHED))
+        finally:
+            self.events.append(f"closed {job_id}")
+
+    def put_organisation(self, organisation: Organisation) -> shown.Change | Refused:
+        current = self.organisations.get(organisation.name, Organisation(""))
+        if current.version != organisation.version:
+            return CONFLICT
+        version = current.version + 1
+        self.organisations[organisation.name] = replace(organisation, version=version)
+        return shown.Change(7, version)
+
+    def remove_organisation(self, name: str, version: int) -> shown.Change | Refused:
+        if name not in self.organisations:
+            return Refused(ErrorKind.UNKNOWN_ORGANISATION, name)
+        if self.organisations[name].version != version:
+            return CONFLICT
+        del self.organisations[name]
+        return shown.Change(8, version + 1)
+
+    def set_zone(self, zone: AvailabilityZone) -> shown.Change | Refused:
+        current = self.zones.get(zone.name, AvailabilityZone("", ""))
+        if current.version != zone.version:
+            return CONFLICT
+        self.zones[zone.name] = replace(zone, version=zone.version + 1)
+        return shown.Change(9, zone.version + 1)
+
+    def drain_target(self, worker: str, draining: bool, version: int) -> shown.Change | Refused:
+        if version != self.workers_version:
+            return CONFLICT
+        self.workers_version += 1
+        self.draining = frozenset({worker}) if draining else frozenset()
+        return shown.Change(10, self.workers_version)
+
+    def put_workers(self, workers, removed, version: int):  # type: ignore[no-untyped-def]
+        if version != self.workers_version:
+            return CONFLICT
+        self.workers_version += 1
+        self.workers.update({worker.name: worker for worker in workers})
+        return shown.Change(11, self.workers_version)
+
+    def get_configuration(self) -> shown.Configuration:
+        return shown.Configuration(
+            11,
+            tuple(self.organisations.values()),
+            tuple(self.zones.values()),
+            tuple(self.workers.values()),
+            self.draining,
+            self.workers_version,
+            MappingProxyType({"entry-1": 11}),
+            False,
+        )
+
+    def list_placements(self) -> shown.PlacementList:
+        return shown.PlacementList(tuple(self.jobs.values()), 12, 8, 5)
+
+    def list_instances(self) -> tuple[shown.InstanceStatus, ...]:
+        return (shown.InstanceStatus("entry-1", "a:1", "sousse", "self", 5, 4, 30, True),)
+
+    def heartbeat(self, heartbeat: shown.PeerHeartbeat) -> None:
+        self.events.append(f"heard {heartbeat.name} {heartbeat.log_offset}")
+
+    def peer_disconnected(self, name: str) -> None:
+        self.events.append(f"lost {name}")
+
+    def find_answer(self, organisation: str, request_id: str) -> shown.FoundAnswer:
+        if request_id == "wait":
+            self._wait(request_id)
+        return shown.FoundAnswer("done", "d", "answer", "worker-1")
+
+    def read_records(self, start: int, limit: int) -> shown.RelayedEntries:
+        entries = tuple(shown.RelayedEntry(start + i, 1_000, "{}") for i in range(limit))
+        return shown.RelayedEntries(entries, start + limit, 0, 20)
+
+
+def main() -> None:
+    """Serve until SIGTERM, then stop and print whether all calls ended in time."""
+    eventlet.monkey_patch()
+    logging.basicConfig(level="ERROR")
+    frontend = FakeFrontend()
+    handle = serve("127.0.0.1:0", build_services(frontend, frontend))
+    stop = Event()
+    get_hub().loop.add_signal_handler(signal.SIGTERM, stop.send)
+    print(handle.address, flush=True)
+    stop.wait()
+    print("draining", flush=True)
+    print(handle.stop(int(sys.argv[1])), flush=True)
+
+
+if __name__ == "__main__":
+    main()
