--- a/libs/standins/src/hornbeamfold/standins/http.py
+++ b/libs/standins/src/hornbeamfold/standins/http.py
@@ -174,7 +174,8 @@
         return None
     return Call(
         method=environ["REQUEST_METHOD"],
-        path=environ["PATH_INFO"],
+        # WSGI hands over the bytes of the path as Latin-1; names in it are UTF-8.
+        path=environ["PATH_INFO"].encode("latin-1").decode("utf-8", "replace"),
         query=dict(parse_qsl(environ.get("QUERY_STRING", ""))),
         body=body,
         client=environ.get("REMOTE_ADDR", ""),
--- a/libs/standins/src/hornbeamfold/standins/instances.py
+++ b/libs/standins/src/hornbeamfold/standins/instances.py
@@ -2,7 +2,6 @@
 
 from dataclasses import asdict
 from time import monotonic
-from urllib.parse import unquote
 
 from msgspec import ValidationError, convert
 
@@ -34,7 +33,7 @@
     """Return the handler of the list's protocol."""
 
     def put(call: Call) -> Reply:
-        name = unquote(call.path.removeprefix(PREFIX))
+        name = call.path.removeprefix(PREFIX)
         try:
             instance = convert(call.body, Listed)
         except ValidationError as error:
--- a/libs/standins/src/hornbeamfold/standins/worker_data.py
+++ b/libs/standins/src/hornbeamfold/standins/worker_data.py
@@ -160,8 +160,10 @@
 
 
 def fail_time_ms(task: str, fail_tasks: Mapping[str, int], work: Work) -> int | None:
-    """Return how long after its start a task fails before its end, if it does."""
-    # Imported names are few here, and patterns are rare: a prefix with a star, or a whole id.
+    """Return how long after its start a task fails before its end, if it does.
+
+    A pattern is a whole task id, or the beginning of one followed by a star.
+    """
     times = [
         after_ms
         for pattern, after_ms in fail_tasks.items()
