Add the HTTP client of the workers

Requests may be tried again only if the worker certainly received nothing, and urllib3's own exceptions do not say so in one place. WorkerClient returns NotSent for a failed connection or an exhausted pool and NoReply for everything after that. One connection to each worker is kept for sync, look-up and void.

--- /dev/null
+++ b/libs/workers/src/hornbeamfold/workers/client.py
@@ -0,0 +1,125 @@
+"""HTTP client of the workers."""
+
+from typing import TypeVar
+from urllib.parse import quote
+
+from msgspec import MsgspecError
+from msgspec.json import Decoder, Encoder
+from urllib3 import PoolManager
+
+from hornbeamfold.model.topology import Worker
+from hornbeamfold.workers.exchange import Clock, HttpCall, HttpReply, exchange
+from hornbeamfold.workers.messages import (
+    CallFailure,
+    LookedUp,
+    LookUpOutcome,
+    NoReply,
+    RunBusy,
+    RunDone,
+    RunFailed,
+    RunOutcome,
+    RunRefused,
+    RunRequest,
+    SyncOutcome,
+    SyncReply,
+    SyncRequest,
+    Voided,
+    VoidOutcome,
+)
+
+T = TypeVar("T")
+
+STATUS_OK = 200
+STATUS_REFUSED = 409
+STATUS_FAILED = 422
+STATUS_BUSY = 429
+# One connection is kept for sync, look-up and void, so that long runs cannot delay a renewal.
+CONTROL_CONNECTIONS = 1
+MAX_DETAIL_CHARACTERS = 2_000
+
+_encoder = Encoder()
+_sync_decoder = Decoder(SyncReply)
+_run_decoder = Decoder(RunDone)
+_failed_decoder = Decoder(RunFailed)
+_look_up_decoder = Decoder(LookedUp)
+_void_decoder = Decoder(Voided)
+
+
+class WorkerClient:
+    """Connections to the workers; every call is sent at most once."""
+
+    def __init__(self, clock: Clock, connections: int, workers: int = 2_000) -> None:
+        """Allow `connections` to each worker, and keep pools for up to `workers` of them."""
+        if connections <= CONTROL_CONNECTIONS:
+            raise ValueError(f"connections must be more than {CONTROL_CONNECTIONS}")
+        self._clock = clock
+        self._run_connections = connections - CONTROL_CONNECTIONS
+        self._runs = PoolManager(num_pools=workers, maxsize=self._run_connections, block=True)
+        self._control = PoolManager(num_pools=workers, maxsize=CONTROL_CONNECTIONS, block=True)
+
+    @property
+    def run_connections(self) -> int:
+        """The number of requests that can run on one worker through this client at once."""
+        return self._run_connections
+
+    def sync(self, worker: Worker, request: SyncRequest, timeout_ms: int) -> SyncOutcome:
+        """Start, renew, checkpoint, throttle, stop and forget tasks; return every task."""
+        call = HttpCall("POST", _url(worker, "sync"), _encoder.encode(request), timeout_ms)
+        return _decode(_sync_decoder, call, exchange(self._control, self._clock, call))
+
+    def run(self, worker: Worker, request: RunRequest, timeout_ms: int) -> RunOutcome:
+        """Run a request and wait for its answer."""
+        call = HttpCall("POST", _url(worker, "run"), _encoder.encode(request), timeout_ms)
+        reply = exchange(self._runs, self._clock, call)
+        if not isinstance(reply, HttpReply):
+            return reply
+        if reply.status == STATUS_BUSY:
+            return RunBusy()
+        if reply.status == STATUS_REFUSED:
+            return RunRefused()
+        if reply.status == STATUS_FAILED:
+            return _failure(reply)
+        return _decode(_run_decoder, call, reply)
+
+    def look_up(self, worker: Worker, task: str, timeout_ms: int) -> LookUpOutcome:
+        """Ask what became of a dispatched request."""
+        call = HttpCall("GET", _url(worker, f"run/{_segment(task)}"), None, timeout_ms)
+        return _decode(_look_up_decoder, call, exchange(self._control, self._clock, call))
+
+    def void(self, worker: Worker, task: str, timeout_ms: int) -> VoidOutcome:
+        """Make the worker refuse the task from now on, unless it has started already."""
+        call = HttpCall("POST", _url(worker, f"run/{_segment(task)}/void"), b"{}", timeout_ms)
+        return _decode(_void_decoder, call, exchange(self._control, self._clock, call))
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._runs.clear()
+        self._control.clear()
+
+
+def _url(worker: Worker, path: str) -> str:
+    return f"http://{worker.address}/v1/{path}"
+
+
+def _segment(task: str) -> str:
+    # Task ids contain slashes and names chosen by callers, so they are encoded as one segment.
+    return quote(task, safe="")
+
+
+def _decode(decoder: Decoder[T], call: HttpCall, reply: HttpReply | CallFailure) -> T | CallFailure:
+    if not isinstance(reply, HttpReply):
+        return reply
+    if reply.status != STATUS_OK:
+        return NoReply(f"{call.method} {call.url}: unexpected status {reply.status}")
+    try:
+        return decoder.decode(reply.body)
+    except (MsgspecError, UnicodeDecodeError) as error:
+        return NoReply(f"{call.method} {call.url}: invalid reply: {error}")
+
+
+def _failure(reply: HttpReply) -> RunFailed:
+    """Return the failure with the worker's detail, or with the raw text if it has no detail."""
+    try:
+        return _failed_decoder.decode(reply.body)
+    except (MsgspecError, UnicodeDecodeError):
+        return RunFailed(reply.body.decode(errors="replace")[:MAX_DETAIL_CHARACTERS])
