Adapt the daemon to the merged libraries

Change: indexes of active jobs and open claims in the view, a late answer replaces an unknown outcome, workers say since when they remember every request, heartbeats carry numbers and echoes.

--- a/libs/bench/src/hornbeamfold/bench/demo.py
+++ b/libs/bench/src/hornbeamfold/bench/demo.py
@@ -1,4 +1,4 @@
-"""The demonstration: one firm's topology, real processes, requests, gang jobs and a zone taken out."""
+"""The demonstration: one firm as processes, with requests, gang jobs and a zone taken out."""
 
 import asyncio
 import sys
@@ -118,9 +118,7 @@
         ran = [start["request_id"] for start in starts if start["request_id"] in ids]
         doubled = len(ran) - len(set(ran))
         ok = len(answered) == len(mine) and (kind.idempotent or doubled == 0)
-        refused = {
-            outcome.kind.value for _, outcome in mine if isinstance(outcome, Refused)
-        }
+        refused = {outcome.kind.value for _, outcome in mine if isinstance(outcome, Refused)}
         note = f"{len(answered)} answered, {doubled} run again"
         if refused:
             note += f", refused: {', '.join(sorted(refused))}"
@@ -144,12 +142,24 @@
     body = dumps({"run_ms": 4_000})
     specs = [
         JobSpec(
-            "sousse-crew", "slope-model", "train", body, Shape(16, 64, 256, Span.RACK),
-            4_000, urgent=False, checkpointable=True,
+            "sousse-crew",
+            "slope-model",
+            "train",
+            body,
+            Shape(16, 64, 256, Span.RACK),
+            4_000,
+            urgent=False,
+            checkpointable=True,
         ),
         JobSpec(
-            "surveyors", "survey-render", "train", body, Shape(8, 32, 128, Span.WORKER),
-            4_000, urgent=True, checkpointable=True,
+            "surveyors",
+            "survey-render",
+            "train",
+            body,
+            Shape(8, 32, 128, Span.WORKER),
+            4_000,
+            urgent=True,
+            checkpointable=True,
         ),
     ]
     addresses = fleet.addresses()
@@ -171,9 +181,7 @@
     """Take a zone out, check that nothing starts there after the bound, and bring it back."""
     address = fleet.addresses()[0]
     zone = await present_zone(address, name)
-    await expect(
-        lambda: client.set_zone(address, replace(zone, in_service=False), CALL_MS)
-    )
+    await expect(lambda: client.set_zone(address, replace(zone, in_service=False), CALL_MS))
     accepted_ms = int(time.time() * 1000)
     rows = await send_requests(fleet, "zone-out")
     await asyncio.sleep(max(0.0, ZONE_BOUND_S + 1.0 - (time.time() - accepted_ms / 1000)))
@@ -214,9 +222,7 @@
             f"{ended.job.state.value} on attempt {ended.job.attempt}, "
             f"{members} members, started after {delay} ms"
         )
-        rows.append(
-            Row(f"gang {spec.job_id}", 1, note, ended.job.state == JobState.FINISHED)
-        )
+        rows.append(Row(f"gang {spec.job_id}", 1, note, ended.job.state == JobState.FINISHED))
     violations = fleet.violations()
     rows.append(Row("invariant violations and faults", len(violations), "", not violations))
     for line in violations[:5]:
--- a/libs/bench/src/hornbeamfold/bench/fleet.py
+++ b/libs/bench/src/hornbeamfold/bench/fleet.py
@@ -189,7 +189,7 @@
         return self._log
 
     @property
-    def list(self) -> StandIn:
+    def instance_list(self) -> StandIn:
         """The list of instances."""
         return self._list
 
--- a/libs/daemon/src/hornbeamfold/daemon/claims.py
+++ b/libs/daemon/src/hornbeamfold/daemon/claims.py
@@ -23,7 +23,6 @@
 from hornbeamfold.model.work import Claim, ClaimState, Request, request_task_id
 from hornbeamfold.telemetry import counter, get_logger, log_decision
 from hornbeamfold.workers import (
-    CallFailure,
     LookedUp,
     NoReply,
     NotSent,
@@ -43,6 +42,8 @@
 HOLDER_SILENT_MS = 3_000
 LOOK_UP_MS = 1_000
 LOOK_UP_PAUSE_MS = 250
+# The clocks of workers and of the log service differ by less than this.
+CLOCK_SKEW_MS = 5_000
 MAX_LOGGED_ANSWER_BYTES = 200 * 1024
 
 logger = get_logger("hornbeamfold.daemon.claims")
@@ -181,9 +182,7 @@
             return None
         return self._dispatch(request, digest, claim, slot)
 
-    def _dispatch(
-        self, request: Request, digest: str, claim: Claim, slot: Slot
-    ) -> Outcome | None:
+    def _dispatch(self, request: Request, digest: str, claim: Claim, slot: Slot) -> Outcome | None:
         """Send the request to the worker that the claim names; move the claim if it did not run.
 
         Returns None if another instance has ended the claim meanwhile.
@@ -199,7 +198,7 @@
             task = request_task_id(request.key, claim.epoch)
             result = self._dispatcher.run(request, digest, task, slot)
             if isinstance(result, NoReply):
-                result = self._ask(request, worker, task)
+                result = self._ask(request, worker, task, claim)
             ended = self._ended(request, digest, claim, worker, result)
             if ended is not None:
                 return ended
@@ -244,17 +243,17 @@
         # The claim stays open: the resolving loop goes on asking the worker.
         return Refused(ErrorKind.OUTCOME_UNKNOWN, result.detail)
 
-    def _ask(self, request: Request, worker: Worker, task: str) -> RunOutcome:
+    def _ask(self, request: Request, worker: Worker, task: str, claim: Claim) -> RunOutcome:
         """Find out what became of a request whose reply was lost, until its deadline."""
         while True:
-            result = self._ask_once(worker, task, request.request_id)
+            result = self._ask_once(worker, task, claim)
             if result is not None and not isinstance(result, NoReply):
                 return result
             if self._left(request) <= 0:
                 return NoReply("The worker did not say whether it ran the request.")
             eventlet.sleep(LOOK_UP_PAUSE_MS / 1_000)
 
-    def _ask_once(self, worker: Worker, task: str, request_id: str) -> RunOutcome | None:
+    def _ask_once(self, worker: Worker, task: str, claim: Claim) -> RunOutcome | None:
         """Look a task up and void it if the worker never saw it; None while it runs."""
         seen = self._client.look_up(worker, task, LOOK_UP_MS)
         if not isinstance(seen, LookedUp):
@@ -262,15 +261,19 @@
         if seen.state == RunState.RUNNING:
             return None
         if seen.state == RunState.FINISHED:
-            return RunDone(seen.answer, seen.request_id or request_id, seen.digest)
+            return RunDone(seen.answer, seen.request_id, seen.digest)
         if seen.state == RunState.FAILED:
             return RunFailed(seen.detail)
         voided = self._client.void(worker, task, LOOK_UP_MS)
-        if isinstance(voided, Voided) and voided.state == VoidState.VOIDED:
-            return RunRefused()
-        if isinstance(voided, Voided):
+        if not isinstance(voided, Voided):
+            return NoReply(f"The worker does not know the task: {voided.detail}")
+        if voided.state != VoidState.VOIDED:
             return None
-        return NoReply(_void_detail(voided))
+        # A worker that lost its memory after the claim may have run the task before.
+        remembers = 0 <= voided.complete_since_ms < claim.claimed_ms - CLOCK_SKEW_MS
+        if not remembers:
+            return NoReply("The worker no longer remembers all requests since the claim.")
+        return RunRefused()
 
     def _move(self, request: Request, claim: Claim, slot: Slot) -> Claim | Refused | None:
         """Make the next worker durable before it gets the request; return the moved claim."""
@@ -300,7 +303,7 @@
             refused.detail,
             organisation=request.organisation,
             request_id=request.request_id,
-            kind=refused.kind.value,
+            error=refused.kind.value,
         )
         count_claims(1, outcome="released")
         self._write_end(
@@ -323,7 +326,7 @@
         if not self._follower.ready or not self._freshness.may_start(self._clock()).granted:
             return
         now = self._clock()
-        for claim in self._follower.view.open_claims():
+        for claim in tuple(self._follower.view.open_claims.values()):
             if claim.key in self._serving or claim.key in self._resolving:
                 continue
             if not self._abandoned(claim, now):
@@ -368,7 +371,7 @@
         task = request_task_id(claim.key, claim.epoch)
         if claim.holder == self._incarnation and not self._was_sent(claim):
             return ClaimReleased(claim.organisation, claim.request_id, claim.epoch, "never sent")
-        result = self._ask_once(worker, task, claim.request_id)
+        result = self._ask_once(worker, task, claim)
         if result is None:
             return None
         if isinstance(result, RunDone):
@@ -420,7 +423,3 @@
     return ClaimDone(
         claim.organisation, claim.request_id, claim.epoch, "", ErrorKind.OUTCOME_UNKNOWN, detail
     )
-
-
-def _void_detail(failure: CallFailure) -> str:
-    return f"The worker never saw the task and could not void it: {failure.detail}"
--- a/libs/daemon/src/hornbeamfold/daemon/dispatch.py
+++ b/libs/daemon/src/hornbeamfold/daemon/dispatch.py
@@ -324,7 +324,7 @@
             "route",
             "refuse",
             refused.detail,
-            kind=refused.kind.value,
+            error=refused.kind.value,
             organisation=request.organisation,
             request_id=request.request_id,
             queued=len(self._queue),
@@ -341,9 +341,7 @@
         basis = (owners, view.offset, self._leaving)
         if basis != self._basis:
             self._basis = basis
-            self._candidates = make_candidates(
-                view.capacities.values(), self._own, self._leaving
-            )
+            self._candidates = make_candidates(view.capacities.values(), self._own, self._leaving)
         return self._candidates
 
     def _own_subset(self, names: list[str]) -> frozenset[str]:
--- a/libs/daemon/src/hornbeamfold/daemon/follower.py
+++ b/libs/daemon/src/hornbeamfold/daemon/follower.py
@@ -4,13 +4,15 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from hornbeamfold.daemon.clock import Clock, Signal
+from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.logclient import (
     Expired,
+    FailureKind,
     LogClient,
     LogFailure,
     LogWriter,
-    ReadResult,
+    Signal,
+    Skipped,
     encode_record,
 )
 from hornbeamfold.membership import Freshness
@@ -23,10 +25,15 @@
     MembersReported,
     SnapshotPart,
 )
-from hornbeamfold.model.invariants import check
 from hornbeamfold.model.status import RelayedEntries, RelayedEntry
 from hornbeamfold.telemetry import counter, get_logger
-from hornbeamfold.view import SnapshotCollector, View
+from hornbeamfold.view import (
+    GuaranteesFit,
+    SnapshotCollector,
+    View,
+    may_replace,
+    verify_snapshot,
+)
 
 # Entries kept for peers that cannot read the log themselves.
 RELAY_ENTRIES = 4_096
@@ -37,7 +44,6 @@
 count_entries = counter("hornbeamfold_log_entries_folded", "Log entries folded into the view")
 count_rejected = counter("hornbeamfold_events_rejected", "Events that the fold rejected")
 
-ViewFactory = Callable[[], View]
 Listener = Callable[[Entry, tuple[Applied, ...]], None]
 
 
@@ -54,16 +60,16 @@
     """The view of this instance and the entries that it was folded from most recently."""
 
     def __init__(
-        self, new_view: ViewFactory, writer: LogWriter, freshness: Freshness, clock: Clock
+        self, guarantees_fit: GuaranteesFit, writer: LogWriter, freshness: Freshness, clock: Clock
     ) -> None:
-        self._new_view = new_view
-        self._view = new_view()
+        self._guarantees_fit = guarantees_fit
+        self._view = View(guarantees_fit)
         self._writer = writer
         self._freshness = freshness
         self._clock = clock
         self._ready = False
         self._recent: deque[Entry] = deque(maxlen=RELAY_ENTRIES)
-        self._collector = SnapshotCollector()
+        self._collector = SnapshotCollector(guarantees_fit)
         self._listeners: list[Listener] = []
         self._changed = Signal()
         self._snapshot_offset = 0
@@ -80,9 +86,9 @@
         return self._ready
 
     @property
-    def new_view(self) -> ViewFactory:
-        """Makes an empty view."""
-        return self._new_view
+    def guarantees_fit(self) -> GuaranteesFit:
+        """The check of guarantees that every view of this instance uses."""
+        return self._guarantees_fit
 
     @property
     def changed(self) -> Signal:
@@ -104,17 +110,14 @@
         self._listeners.append(listener)
 
     def adopt(self, loaded: Loaded) -> None:
-        """Take a loaded view as this instance's own; it must not be older than the present one."""
-        check(
-            "I6 configuration never goes back",
-            loaded.view.configuration_offset >= self._view.configuration_offset,
-            f"loaded {loaded.view.configuration_offset}, had {self._view.configuration_offset}",
-        )
-        if loaded.view.offset < self._view.offset:
+        """Take a loaded view as this instance's own, unless it is older than the present one."""
+        if not may_replace(self._view, loaded.view):
             return
         self._view = loaded.view
         self._recent.clear()
-        self._collector = SnapshotCollector()
+        self._collector = SnapshotCollector(self._guarantees_fit)
+        self._snapshot_offset = loaded.view.offset
+        self._snapshot_ms = loaded.view.at_ms
         self._confirm(loaded.read_started_ms, loaded.end)
 
     def on_entries(self, entries: Iterable[Entry], end: int, started_ms: int) -> None:
@@ -132,6 +135,14 @@
         self._freshness.log_failed()
         logger.warning("The log was not read", extra={"detail": failure.detail})
 
+    def on_skipped(self, skipped: tuple[Skipped, ...]) -> None:
+        """Note records that could not be decoded; every instance passes over them alike."""
+        for one in skipped:
+            logger.error(
+                "A log record cannot be decoded",
+                extra={"offset": one.offset, "detail": one.detail},
+            )
+
     def on_relayed(self, entries: Iterable[Entry]) -> None:
         """Fold entries that a peer relayed; they confirm nothing by themselves."""
         for entry in entries:
@@ -188,14 +199,8 @@
         """Fold the entries behind a snapshot onto it and compare it with the own view."""
         if not self._recent or self._recent[0].offset > as_of:
             return
-        for entry in self._recent:
-            if entry.offset < as_of:
-                continue
-            restored.apply(entry)
-        check(
-            "I8 snapshot digests agree",
-            restored.digest() == self._view.digest(),
-            f"snapshot as of {as_of} differs at offset {self._view.offset}",
+        verify_snapshot(
+            self._view, restored, (entry for entry in self._recent if entry.offset >= as_of)
         )
 
     def _confirm(self, started_ms: int, end: int) -> None:
@@ -207,7 +212,7 @@
         self._changed.notify()
 
 
-def load(client: LogClient, new_view: ViewFactory, clock: Clock) -> Loaded | LogFailure:
+def load(client: LogClient, guarantees_fit: GuaranteesFit, clock: Clock) -> Loaded | LogFailure:
     """Build a view from the newest complete snapshot in the log and the entries behind it."""
     started = clock()
     head = client.read(0, 1, 0)
@@ -215,8 +220,8 @@
         return head
     first, end = head.first, head.end
     if first == 0:
-        return Loaded(new_view(), end, started)
-    collector = SnapshotCollector()
+        return Loaded(View(guarantees_fit), end, started)
+    collector = SnapshotCollector(guarantees_fit)
     restored: View | None = None
     start = first
     while start < end:
@@ -229,10 +234,9 @@
         for entry in result.entries:
             restored = _newest(collector, entry, first) or restored
         start = result.entries[-1].offset + 1 if result.entries else end
-    if restored is None and first >= end:
-        return LogFailure("empty", "the log holds no records and no snapshot", False)
     if restored is None:
-        return LogFailure("no_snapshot", "the log holds no complete snapshot", False)
+        detail = f"no complete snapshot is among the records {first} to {end - 1}"
+        return LogFailure(FailureKind.PROTOCOL, detail, may_have_happened=False)
     return Loaded(restored, end, started)
 
 
@@ -258,6 +262,3 @@
         if isinstance(event, MembersReported):
             keys.update((report.organisation, report.job_id) for report in event.reports)
     return keys
-
-
-__all__ = ["Loaded", "LogFollower", "ReadResult", "affected_jobs", "load"]
--- a/libs/daemon/src/hornbeamfold/daemon/frontend.py
+++ b/libs/daemon/src/hornbeamfold/daemon/frontend.py
@@ -65,7 +65,7 @@
 
     def list_jobs(self, organisation: str, state: str) -> JobList:
         """Return jobs; an empty argument selects all."""
-        return self._jobs.list(organisation, state)
+        return self._jobs.list_jobs(organisation, state)
 
     def follow_job(self, organisation: str, job_id: str) -> Iterator[JobStatus | Refused]:
         """Yield the status at once and after each change until the job has ended."""
--- a/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
+++ b/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
@@ -53,6 +53,4 @@
 ) -> None:
     """Take in a peer's heartbeat and the load that it reports."""
     peers.heard(heartbeat, now_ms)
-    dispatcher.peer_reported(
-        heartbeat.name, dict(heartbeat.in_flight), tuple(heartbeat.set_aside)
-    )
+    dispatcher.peer_reported(heartbeat.name, dict(heartbeat.in_flight), tuple(heartbeat.set_aside))
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -2,7 +2,6 @@
 
 import os
 from dataclasses import dataclass
-from functools import partial
 from random import Random
 from uuid import uuid4
 
@@ -22,7 +21,7 @@
 from hornbeamfold.daemon.placer import Placer
 from hornbeamfold.daemon.requests import RequestService, checked_answer
 from hornbeamfold.daemon.snapshots import Snapshotter
-from hornbeamfold.logclient import LogClient, LogFailure, LogWriter, follow
+from hornbeamfold.logclient import Expired, LogClient, LogFailure, LogWriter, follow
 from hornbeamfold.membership import Freshness, ListClient, PeerTable
 from hornbeamfold.model.timing import HEARTBEAT_MS
 from hornbeamfold.placement import guarantees_fit
@@ -30,7 +29,6 @@
 from hornbeamfold.rpc.services import build_services
 from hornbeamfold.settings import Settings
 from hornbeamfold.telemetry import gauge, get_logger
-from hornbeamfold.view import View
 from hornbeamfold.workers import WorkerClient
 
 LOAD_RETRY_MS = 500
@@ -89,11 +87,9 @@
     incarnation = f"{settings.name}-{uuid4().hex[:12]}"
     peers = PeerTable(settings.name, settings.region)
     freshness = Freshness(peers, settings.region, clock())
-    client = LogClient(
-        settings.log_url, clock, settings.name, settings.availability_zone
-    )
+    client = LogClient(settings.log_url, clock, settings.name, settings.availability_zone)
     writer = LogWriter(incarnation, client.append, clock)
-    follower = LogFollower(partial(View, guarantees_fit), writer, freshness, clock)
+    follower = LogFollower(guarantees_fit, writer, freshness, clock)
     workers = WorkerClient(
         clock,
         WORKER_CONNECTIONS // MIN_INSTANCES,
@@ -237,22 +233,36 @@
 
 def follow_log(parts: Parts, clock: Clock) -> None:
     """Load the view and follow the log for ever; load it again whenever entries were missed."""
-    while True:
-        loaded = load(parts.client, parts.follower.new_view, clock)
-        if isinstance(loaded, LogFailure):
-            parts.freshness.log_failed()
-            logger.warning("The log was not loaded", extra={"detail": loaded.detail})
-            eventlet.sleep(LOAD_RETRY_MS / 1_000)
-            continue
-        parts.follower.adopt(loaded)
-        follow(
-            parts.client,
-            parts.follower.next_offset,
-            parts.follower.on_entries,
-            parts.follower.on_failure,
-            clock,
+    follower = parts.follower
+    _load_until_done(parts, clock)
+
+    def on_failure(failure: LogFailure | Expired) -> None:
+        if isinstance(failure, LogFailure):
+            follower.on_failure(failure)
+            return
+        logger.warning(
+            "Entries have expired before they were read; loading a snapshot",
+            extra={"first": failure.first, "offset": follower.view.offset},
         )
-        logger.warning("Entries have expired before they were read; loading a snapshot")
+        _load_until_done(parts, clock)
+
+    follow(
+        parts.client.read,
+        follower.next_offset,
+        follower.on_entries,
+        on_failure,
+        on_skipped=follower.on_skipped,
+    )
+
+
+def _load_until_done(parts: Parts, clock: Clock) -> None:
+    while True:
+        loaded = load(parts.client, parts.follower.guarantees_fit, clock)
+        if not isinstance(loaded, LogFailure):
+            parts.follower.adopt(loaded)
+            return
+        parts.follower.on_failure(loaded)
+        eventlet.sleep(LOAD_RETRY_MS / 1_000)
 
 
 def start(parts: Parts, settings: Settings, lifecycle: Lifecycle) -> ServerHandle:
@@ -283,9 +293,7 @@
     return server
 
 
-def stop(
-    parts: Parts, server: ServerHandle, settings: Settings, lifecycle: Lifecycle
-) -> bool:
+def stop(parts: Parts, server: ServerHandle, settings: Settings, lifecycle: Lifecycle) -> bool:
     """Drain and stop within the bound; return whether everything was finished or handed over."""
     deadline = monotonic_ms() + settings.stop_bound_ms - STOP_RESERVE_MS
     lifecycle.drain()
--- a/libs/daemon/src/hornbeamfold/daemon/jobs.py
+++ b/libs/daemon/src/hornbeamfold/daemon/jobs.py
@@ -72,14 +72,11 @@
             return rejection(verdict)
         return self.get(organisation, job_id)
 
-    def list(self, organisation: str, state: str) -> JobList:
+    def list_jobs(self, organisation: str, state: str) -> JobList:
         """Return jobs, active and ended ones first, then the queue in its order."""
         view = self._follower.view
         queued = order_queue(
-            tuple(view.queued.values()),
-            dict(view.organisations),
-            self._wall(),
-            tuple(view.active_jobs()),
+            (*view.queued.values(), *view.active.values()), view.organisations, self._wall()
         )
         others = [job for key, job in view.jobs.items() if key not in view.queued]
         chosen: list[JobStatus] = []
@@ -129,5 +126,5 @@
         organisation = view.organisations.get(job.spec.organisation)
         if organisation is None:
             return JobStatus(job, view.offset, False)
-        own = [one for one in view.active_jobs() if one.spec.organisation == organisation.name]
+        own = [one for one in view.active.values() if one.spec.organisation == organisation.name]
         return JobStatus(job, view.offset, job.key in entitled_keys(organisation, own, job))
--- a/libs/daemon/src/hornbeamfold/daemon/keeper.py
+++ b/libs/daemon/src/hornbeamfold/daemon/keeper.py
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True)
 class SyncPlan:
-    """What to send to the worker; `starts` are the tasks started and `soon` asks for a quick retry."""
+    """What to send to the worker, which tasks it starts, and whether to come back soon."""
 
     request: SyncRequest
     starts: tuple[str, ...] = ()
@@ -143,9 +143,7 @@
     lists.renew.append(TaskRenewal(here.task, here.job.fence, lease))
 
 
-def _stop(
-    here: MemberHere, report: TaskReport | None, lists: _Lists, permit: Permit
-) -> None:
+def _stop(here: MemberHere, report: TaskReport | None, lists: _Lists, permit: Permit) -> None:
     running = report is not None and report.state == TaskState.RUNNING
     saved = report is not None and bool(report.checkpoint)
     if (
--- a/libs/daemon/src/hornbeamfold/daemon/keepers.py
+++ b/libs/daemon/src/hornbeamfold/daemon/keepers.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from hornbeamfold.daemon.clock import Clock, Signal
+from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower, affected_jobs
 from hornbeamfold.daemon.keeper import (
     JOB_TASK_PREFIX,
@@ -14,7 +14,7 @@
     plan_sync,
     read_reply,
 )
-from hornbeamfold.logclient import LogWriter
+from hornbeamfold.logclient import LogWriter, Signal
 from hornbeamfold.membership import Freshness, PeerTable
 from hornbeamfold.model.events import Applied, Entry, MemberReport, MembersReported
 from hornbeamfold.model.invariants import check
@@ -189,8 +189,11 @@
             for here in members
         ):
             log_decision(
-                "start", "refuse", "the availability zone is out or the worker drains",
-                worker=session.worker, offset=view.offset,
+                "start",
+                "refuse",
+                "the availability zone is out or the worker drains",
+                worker=session.worker,
+                offset=view.offset,
             )
             may_start = type(may_start)(False, "worker is not eligible")
         plan = plan_sync(
@@ -243,9 +246,7 @@
     def _take_reply(self, session: "_Session", plan: SyncPlan, reply: SyncReply) -> None:
         session.answered_ms = self._clock()
         session.reported = {
-            report.task: report
-            for report in reply.tasks
-            if report.task.startswith(JOB_TASK_PREFIX)
+            report.task: report for report in reply.tasks if report.task.startswith(JOB_TASK_PREFIX)
         }
         self._leaving.discard(session.worker)
         if reply.leaving:
@@ -253,17 +254,17 @@
         self._on_load(session.worker, reply)
         # The view may have moved on during the exchange, so the members are read again.
         members = self._members(session.worker)
-        session.result = read_reply(
-            members, reply, plan.request.stop, self._follower.view.offset
-        )
+        session.result = read_reply(members, reply, plan.request.stop, self._follower.view.offset)
         self._report(session, session.result.reports)
 
     def _report(self, session: "_Session", reports: Iterable[MemberReport]) -> None:
         now = self._clock()
         fresh: list[MemberReport] = []
         for report in reports:
-            mark = (task_id((report.organisation, report.job_id), report.attempt, report.worker),
-                    report.state)
+            mark = (
+                task_id((report.organisation, report.job_id), report.attempt, report.worker),
+                report.state,
+            )
             if now - session.written.get(mark, -REPORT_AGAIN_MS) < REPORT_AGAIN_MS:
                 continue
             session.written[mark] = now
--- a/libs/daemon/src/hornbeamfold/daemon/operators.py
+++ b/libs/daemon/src/hornbeamfold/daemon/operators.py
@@ -101,9 +101,7 @@
         view = self._follower.view
         free = sum(capacity.free_mask.bit_count() for capacity in view.capacities.values())
         shares = fragmentation(view.capacities, ())
-        return PlacementList(
-            tuple(view.active_jobs()), free, shares.largest_free_run, view.offset
-        )
+        return PlacementList(tuple(view.active.values()), free, shares.largest_run, view.offset)
 
     def instances(self) -> tuple[InstanceStatus, ...]:
         """Return the entry instances as this one sees them."""
--- a/libs/daemon/src/hornbeamfold/daemon/peering.py
+++ b/libs/daemon/src/hornbeamfold/daemon/peering.py
@@ -166,7 +166,7 @@
         return name in self._peers.heard_names(self._clock())
 
     def _relay(self) -> None:
-        """Fetch entries from a peer that is further in the log while this instance can't read it."""
+        """Fetch entries from a peer that is further in the log while the log can't be read."""
         while self._running:
             eventlet.sleep(HEARTBEAT_MS / 1_000)
             if self._freshness.log_reachable or not self._follower.ready:
--- a/libs/daemon/src/hornbeamfold/daemon/placer.py
+++ b/libs/daemon/src/hornbeamfold/daemon/placer.py
@@ -1,4 +1,4 @@
-"""Proposes placements and stops; the instance that ranks first does so, the others wait a little."""
+"""Proposes placements and stops, by rank among the live instances."""
 
 from collections.abc import Callable, Iterable
 from dataclasses import replace
@@ -13,7 +13,7 @@
 from hornbeamfold.model.events import Event, JobJudged, JobPlaced, JobStopping
 from hornbeamfold.model.timing import LOG_WAIT_MS, RANK_STEP_MS, START_BOUND_MS
 from hornbeamfold.model.topology import WorkerCapacity
-from hornbeamfold.model.work import ACTIVE_JOBS, Job, JobState, StopReason
+from hornbeamfold.model.work import Job, JobState, StopReason
 from hornbeamfold.placement import Decision, PlanningState, plan
 from hornbeamfold.telemetry import counter, get_logger, histogram, log_decision
 from hornbeamfold.view import View, partial_gangs
@@ -32,7 +32,7 @@
 ) -> tuple[Decision, ...]:
     """Return stops for jobs in zones that are out, on drained workers, or started too slowly."""
     decisions: list[Decision] = []
-    for job in view.active_jobs():
+    for job in view.active.values():
         if job.state == JobState.STOPPING:
             continue
         reason = _stop_reason(job, view, ages, drained)
@@ -43,9 +43,7 @@
     return tuple(decisions)
 
 
-def _stop_reason(
-    job: Job, view: View, ages: JobAges, drained: frozenset[str]
-) -> StopReason:
+def _stop_reason(job: Job, view: View, ages: JobAges, drained: frozenset[str]) -> StopReason:
     for status in job.members:
         capacity = view.capacities.get(status.member.worker)
         if capacity is None:
@@ -60,9 +58,7 @@
     return StopReason.NONE
 
 
-def usable_capacities(
-    view: View, unavailable: frozenset[str]
-) -> dict[str, WorkerCapacity]:
+def usable_capacities(view: View, unavailable: frozenset[str]) -> dict[str, WorkerCapacity]:
     """Return the capacities with leaving and ejected workers marked as not eligible."""
     capacities = dict(view.capacities)
     for name in unavailable:
@@ -147,11 +143,11 @@
             return ()
         started = self._clock()
         state = PlanningState(
-            jobs=tuple(view.queued.values()) + tuple(view.active_jobs()),
+            jobs=tuple(view.queued.values()) + tuple(view.active.values()),
             capacities=usable_capacities(view, unavailable),
-            organisations=dict(view.organisations),
+            organisations=view.organisations,
             reservations=tuple(view.reservations.values()),
-            estimates=dict(view.estimates),
+            estimates=view.estimates,
             offset=view.offset,
         )
         decisions = plan(state, self._wall())
@@ -188,8 +184,7 @@
 def _choice(event: Event) -> str:
     if isinstance(event, JobPlaced):
         where = " ".join(
-            f"{member.worker}:{','.join(map(str, member.accelerators))}"
-            for member in event.members
+            f"{member.worker}:{','.join(map(str, member.accelerators))}" for member in event.members
         )
         return f"place {event.organisation}/{event.job_id}#{event.attempt} on {where}"
     if isinstance(event, JobStopping):
@@ -198,6 +193,3 @@
         verdict = event.infeasible or "feasible"
         return f"judge {event.organisation}/{event.job_id}: {verdict}"
     return type(event).__name__
-
-
-__all__ = ["ACTIVE_JOBS", "Placer", "due_stops", "usable_capacities"]
--- a/libs/daemon/src/hornbeamfold/daemon/requests.py
+++ b/libs/daemon/src/hornbeamfold/daemon/requests.py
@@ -156,9 +156,7 @@
         claim = self._follower.view.claims.get(key)
         if claim is not None and claim.state == ClaimState.DONE:
             kind = claim.kind.value if claim.kind is not None else ""
-            return FoundAnswer(
-                "done", claim.digest, claim.answer, claim.worker, kind, claim.detail
-            )
+            return FoundAnswer("done", claim.digest, claim.answer, claim.worker, kind, claim.detail)
         kept = self._answers.get(key, self._clock())
         if kept is not None:
             return _known(kept.digest, kept.outcome)
@@ -298,9 +296,7 @@
         if found.state == "done" and found.kind:
             ran = Ran(found.ran) if found.ran else None
             return Refused(ErrorKind(found.kind), found.detail, ran)
-        return RequestAnswer(
-            key[0], key[1], found.answer, found.worker, found.state, found.digest
-        )
+        return RequestAnswer(key[0], key[1], found.answer, found.worker, found.state, found.digest)
 
     def _truthful(self, request: Request, refused: Refused, arrived: int) -> Refused:
         """Say "not run" only where this instance can know it.
--- a/libs/model/src/hornbeamfold/model/work.py
+++ b/libs/model/src/hornbeamfold/model/work.py
@@ -143,8 +143,9 @@
 class Claim:
     """The durable claim on one non-idempotent request.
 
-    `holder` is the incarnation that may dispatch it, `epoch` counts its claims and `fence` is the
-    offset of the current one. `kind` is set if it ended without an answer.
+    `holder` is the incarnation that may dispatch it, `epoch` counts its claims and moves, `fence`
+    is the offset of the current one and `claimed_ms` the log's time of the claim. `kind` is set if
+    it ended without an answer.
     """
 
     organisation: str
@@ -155,6 +156,7 @@
     deadline_ms: int
     epoch: int
     fence: int
+    claimed_ms: int = 0
     state: ClaimState = ClaimState.OPEN
     answer: str = ""
     kind: ErrorKind | None = None
--- a/libs/rpc/src/hornbeamfold/rpc/peer_adapters.py
+++ b/libs/rpc/src/hornbeamfold/rpc/peer_adapters.py
@@ -16,6 +16,7 @@
     """Read a heartbeat."""
     faults = Faults()
     heartbeat = PeerHeartbeat(
+        seq=faults.whole("seq", message.seq, 1),
         name=faults.name("name", message.name),
         incarnation=faults.name("incarnation", message.incarnation),
         address=faults.address("address", message.address),
@@ -28,7 +29,7 @@
         ),
         confirmed_age_ms=faults.whole("confirmed_age_ms", message.confirmed_age_ms, NEVER),
         log_reachable=message.log_reachable,
-        heard=tuple(message.heard),
+        heard=MappingProxyType(dict(message.heard)),
         in_flight=MappingProxyType(dict(message.in_flight)),
         set_aside=tuple(message.set_aside),
         settled=message.settled,
@@ -39,6 +40,7 @@
 def write_heartbeat(heartbeat: PeerHeartbeat) -> v1_pb2.Heartbeat:
     """Write a heartbeat."""
     return v1_pb2.Heartbeat(
+        seq=heartbeat.seq,
         name=heartbeat.name,
         incarnation=heartbeat.incarnation,
         address=heartbeat.address,
@@ -49,7 +51,7 @@
         configuration_offset=heartbeat.configuration_offset,
         confirmed_age_ms=heartbeat.confirmed_age_ms,
         log_reachable=heartbeat.log_reachable,
-        heard=heartbeat.heard,
+        heard=dict(heartbeat.heard),
         in_flight=dict(heartbeat.in_flight),
         set_aside=heartbeat.set_aside,
         settled=heartbeat.settled,
--- a/libs/standins/src/hornbeamfold/standins/run_table.py
+++ b/libs/standins/src/hornbeamfold/standins/run_table.py
@@ -38,14 +38,17 @@
         self._generation = 0
         self._known: dict[str, Ran] = {}
         self._voided: set[str] = set()
+        # Since when every request is remembered, as a Unix time.
+        self._complete_since_ms = 0
 
     @property
     def running(self) -> int:
         """The number of requests that run now."""
         return self._running
 
-    def clear(self) -> None:
+    def clear(self, now_ms: float) -> None:
         """Lose everything, as a worker that crashed."""
+        self._complete_since_ms = int(now_ms)
         self._generation += 1
         self._running = 0
         self._known.clear()
@@ -85,8 +88,8 @@
         """Return what is known of a task."""
         ran = self._known.get(task)
         if ran is None:
-            return Reply(200, {"state": "unknown"})
-        body: dict[str, Any] = {"state": ran.state}
+            return Reply(200, self._memory("unknown"))
+        body = self._memory(ran.state)
         if ran.state == "finished":
             body |= _answer(ran.run, ran.answer)
         if ran.state == "failed":
@@ -99,16 +102,21 @@
             return refusal(404, "this worker does not support void")
         ran = self._known.get(task)
         if ran is not None:
-            return Reply(200, {"state": ran.state})
+            return Reply(200, self._memory(ran.state))
         self._voided.add(task)
-        return Reply(200, {"state": "voided"}, wrote=True)
+        return Reply(200, self._memory("voided"), wrote=True)
+
+    def _memory(self, state: str) -> dict[str, Any]:
+        return {"state": state, "complete_since_ms": self._complete_since_ms}
 
     def _trim(self) -> None:
         if len(self._known) <= MAX_KEPT:
             return
         oldest = next(iter(self._known))
-        if self._known[oldest].state != "running":
+        ran = self._known[oldest]
+        if ran.state != "running":
             del self._known[oldest]
+            self._complete_since_ms = max(self._complete_since_ms, int(ran.started_ms) + 1)
 
 
 def _answer(run: Run, answer: str) -> dict[str, Any]:
--- a/libs/standins/src/hornbeamfold/standins/worker.py
+++ b/libs/standins/src/hornbeamfold/standins/worker.py
@@ -50,7 +50,7 @@
     def lose_all(self) -> None:
         """Lose all tasks and requests, as a worker that crashed."""
         self._tasks.clear()
-        self._runs.clear()
+        self._runs.clear(self._clock())
 
     def handle(self, call: Call) -> Reply:
         """Answer one call of the worker's protocol."""
--- a/libs/view/src/hornbeamfold/view/fold_claims.py
+++ b/libs/view/src/hornbeamfold/view/fold_claims.py
@@ -51,6 +51,7 @@
             deadline_ms=event.deadline_ms,
             epoch=1 if before is None else before.epoch + 1,
             fence=state.folding_offset,
+            claimed_ms=state.at_ms,
         )
     )
     return None
@@ -76,8 +77,11 @@
 
 
 def fold_claim_done(state: State, event: ClaimDone) -> Verdict:
-    """End an open claim with its answer or with the kind of its failure."""
-    claim = _open_claim(state, event)
+    """End an open claim with its answer or with the kind of its failure.
+
+    An answer that comes late replaces an unknown outcome of the same epoch.
+    """
+    claim = _open_claim(state, event, event.kind is not ErrorKind.OUTCOME_UNKNOWN)
     if isinstance(claim, Refused):
         return claim
     state.put_claim(
@@ -101,12 +105,16 @@
     return None
 
 
-def _open_claim(state: State, event: ClaimMoved | ClaimDone | ClaimReleased) -> Claim | Refused:
+def _open_claim(
+    state: State, event: ClaimMoved | ClaimDone | ClaimReleased, or_unknown: bool = False
+) -> Claim | Refused:
     claim = state.claims.get((event.organisation, event.request_id))
     if claim is None:
         return not_found(f"request {event.request_id!r} is not claimed")
     if claim.epoch != event.epoch:
         return conflict(f"the claim has epoch {claim.epoch}, not {event.epoch}")
+    if or_unknown and claim.kind is ErrorKind.OUTCOME_UNKNOWN:
+        return claim
     if claim.state is not ClaimState.OPEN:
         return conflict(f"the claim is {claim.state.value}")
     return claim
--- a/libs/view/src/hornbeamfold/view/state.py
+++ b/libs/view/src/hornbeamfold/view/state.py
@@ -2,11 +2,14 @@
 
 from collections import OrderedDict
 from heapq import heappop, heappush
+from typing import TypeVar
 
 from hornbeamfold.model import (
+    ACTIVE_JOBS,
     ENDED_JOBS,
     AvailabilityZone,
     Claim,
+    ClaimState,
     Job,
     JobState,
     Organisation,
@@ -22,6 +25,8 @@
 # A writer sends a record again for minutes at most, so a silent one can be forgotten after this.
 WRITER_KEEP_MS = 6 * 3_600_000
 
+T = TypeVar("T", Job, Claim)
+
 ORDERED_JOBS = frozenset({JobState.QUEUED, JobState.PLACED})
 UNSETTLED_JOBS = frozenset({JobState.PLACED, JobState.STOPPING})
 
@@ -54,7 +59,9 @@
         self.estimates = Estimates()
         # Indexes that follow from the above.
         self.queued: dict[JobKey, Job] = {}
+        self.active: dict[JobKey, Job] = {}
         self.unsettled: dict[JobKey, Job] = {}
+        self.open_claims: dict[JobKey, Claim] = {}
         self._claim_expiry: list[tuple[int, JobKey]] = []
 
     @property
@@ -77,6 +84,7 @@
             del self.jobs[key]
         self.jobs[key] = job
         _index(self.queued, job, job.state is JobState.QUEUED)
+        _index(self.active, job, job.state in ACTIVE_JOBS)
         _index(self.unsettled, job, job.state in UNSETTLED_JOBS)
         if job.state in ENDED_JOBS and key not in self.ended:
             self.ended[key] = self.at_ms
@@ -85,6 +93,7 @@
         """Add or replace a claim."""
         before = self.claims.get(claim.key)
         self.claims[claim.key] = claim
+        _index(self.open_claims, claim, claim.state is ClaimState.OPEN)
         if before is None or before.deadline_ms != claim.deadline_ms:
             heappush(self._claim_expiry, (claim.deadline_ms + CLAIM_KEEP_MS, claim.key))
 
@@ -120,10 +129,11 @@
             # A request that was claimed again has a later entry of its own.
             if claim is not None and claim.deadline_ms + CLAIM_KEEP_MS <= self.at_ms:
                 del self.claims[key]
+                self.open_claims.pop(key, None)
 
 
-def _index(index: dict[JobKey, Job], job: Job, belongs: bool) -> None:
+def _index(index: dict[JobKey, T], item: T, belongs: bool) -> None:
     if belongs:
-        index[job.key] = job
+        index[item.key] = item
         return
-    index.pop(job.key, None)
+    index.pop(item.key, None)
--- a/libs/view/src/hornbeamfold/view/view.py
+++ b/libs/view/src/hornbeamfold/view/view.py
@@ -162,6 +162,11 @@
         """The queued jobs in the order in which they were queued."""
         return MappingProxyType(self._state.queued)
 
+    @property
+    def active(self) -> Mapping[JobKey, Job]:
+        """The jobs that are placed, run or are being stopped."""
+        return MappingProxyType(self._state.active)
+
     @property
     def unsettled(self) -> Mapping[JobKey, Job]:
         """The jobs that are placed and do not run yet, or that are being stopped."""
@@ -172,6 +177,11 @@
         """The claims by organisation and request id."""
         return MappingProxyType(self._state.claims)
 
+    @property
+    def open_claims(self) -> Mapping[JobKey, Claim]:
+        """The claims whose requests have not ended."""
+        return MappingProxyType(self._state.open_claims)
+
     @property
     def capacities(self) -> Mapping[str, WorkerCapacity]:
         """What is free on each worker."""
--- a/libs/workers/src/hornbeamfold/workers/client.py
+++ b/libs/workers/src/hornbeamfold/workers/client.py
@@ -48,14 +48,24 @@
 class WorkerClient:
     """Connections to the workers; every call is sent at most once."""
 
-    def __init__(self, clock: Clock, connections: int, workers: int = 2_000) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        connections: int,
+        workers: int = 2_000,
+        instance: str = "",
+        availability_zone: str = "",
+    ) -> None:
         """Allow `connections` to each worker, and keep pools for up to `workers` of them."""
         if connections <= CONTROL_CONNECTIONS:
             raise ValueError(f"connections must be more than {CONTROL_CONNECTIONS}")
         self._clock = clock
         self._run_connections = connections - CONTROL_CONNECTIONS
-        self._runs = PoolManager(num_pools=workers, maxsize=self._run_connections, block=True)
-        self._control = PoolManager(num_pools=workers, maxsize=CONTROL_CONNECTIONS, block=True)
+        headers = {"Content-Type": "application/json"}
+        if instance:
+            headers |= {"X-Instance": instance, "X-Availability-Zone": availability_zone}
+        self._runs = PoolManager(workers, headers, maxsize=self._run_connections, block=True)
+        self._control = PoolManager(workers, headers, maxsize=CONTROL_CONNECTIONS, block=True)
 
     @property
     def run_connections(self) -> int:
--- a/libs/workers/src/hornbeamfold/workers/exchange.py
+++ b/libs/workers/src/hornbeamfold/workers/exchange.py
@@ -55,7 +55,6 @@
             call.method,
             call.url,
             body=call.body,
-            headers={"Content-Type": "application/json"},
             retries=False,
             redirect=False,
             preload_content=False,
--- a/libs/workers/src/hornbeamfold/workers/messages.py
+++ b/libs/workers/src/hornbeamfold/workers/messages.py
@@ -148,11 +148,18 @@
 
 @dataclass(frozen=True)
 class LookedUp:
-    """The state of a dispatched request; `answer` is set once it is finished."""
+    """The state of a dispatched request; the answer and its digest are set once it is finished.
+
+    `complete_since_ms` is the Unix time since when the worker remembers every request: one that
+    was sent earlier may have run although it is unknown now. -1 means that it does not say.
+    """
 
     state: RunState
     answer: str = ""
     detail: str = ""
+    request_id: str = ""
+    digest: str = ""
+    complete_since_ms: int = -1
 
 
 class VoidState(StrEnum):
@@ -166,9 +173,13 @@
 
 @dataclass(frozen=True)
 class Voided:
-    """The state after a void; only `VOIDED` means that the task never runs."""
+    """The state after a void; only `VOIDED` means that the task does not start from now on.
+
+    `complete_since_ms` is as in `LookedUp`.
+    """
 
     state: VoidState
+    complete_since_ms: int = -1
 
 
 @dataclass(frozen=True)
