logclient: codec, client, writer and reading loop

The daemon needs appends with exactly one effect. The HTTP client never retries; the writer sends a record again only after a read that started after the failure did not show it.

--- /dev/null
+++ b/libs/logclient/src/hornbeamfold/logclient/client.py
@@ -0,0 +1,172 @@
+"""The HTTP client of the log service."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import decode, encode
+from urllib3 import HTTPConnectionPool, Timeout, connection_from_url
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+    TimeoutError,
+)
+from urllib3.response import BaseHTTPResponse
+
+from hornbeamfold.logclient.codec import UndecodableRecordError, decode_record
+from hornbeamfold.logclient.outcomes import (
+    Appended,
+    AppendOutcome,
+    Expired,
+    FailureKind,
+    LogFailure,
+    ReadOutcome,
+    ReadResult,
+    Skipped,
+)
+from hornbeamfold.model.events import Entry, Record
+
+CONNECT_TIMEOUT_MS = 1_000
+APPEND_TIMEOUT_MS = 2_000
+# A read may take this much longer than the wait that it asks for.
+READ_TIMEOUT_MS = 2_000
+# The tail is read by one green thread, while another may scan for a snapshot.
+READ_CONNECTIONS = 2
+# Sending the same record again cannot help after these.
+REFUSED_RECORD = (400, 413)
+# Stands for a record that cannot be decoded; the fold ignores it but passes its offset.
+EMPTY_RECORD = Record("", 0, ())
+
+
+@dataclass(frozen=True)
+class _Stored:
+    offset: int
+    at_ms: int
+    data: str
+
+
+@dataclass(frozen=True)
+class _Page:
+    records: tuple[_Stored, ...]
+    first: int
+    end: int
+
+
+@dataclass(frozen=True)
+class _Bounds:
+    first: int
+    end: int
+
+
+@dataclass(frozen=True)
+class _Offset:
+    offset: int
+
+
+class LogClient:
+    """Calls to one log service, with separate connections for appends and reads."""
+
+    def __init__(
+        self,
+        url: str,
+        clock: Callable[[], int],
+        instance: str = "",
+        availability_zone: str = "",
+        append_timeout_ms: int = APPEND_TIMEOUT_MS,
+        read_timeout_ms: int = READ_TIMEOUT_MS,
+    ) -> None:
+        self._clock = clock
+        self._append_timeout_ms = append_timeout_ms
+        self._read_timeout_ms = read_timeout_ms
+        headers = {"X-Instance": instance, "X-Availability-Zone": availability_zone}
+        sent = {name: value for name, value in headers.items() if value}
+        # A long poll must not delay an append, so they share no connection.
+        self._appends = connection_from_url(url, maxsize=1, headers=sent)
+        self._reads = connection_from_url(url, maxsize=READ_CONNECTIONS, headers=sent)
+
+    def append(self, data: str) -> AppendOutcome:
+        """Store a record; it is sent at most once."""
+        response = self._call(
+            self._appends, "POST", "/v1/records", self._append_timeout_ms, encode({"data": data})
+        )
+        if isinstance(response, LogFailure):
+            return response
+        if response.status != 200:
+            return _unexpected(response)
+        try:
+            return Appended(decode(response.data, type=_Offset).offset)
+        except (DecodeError, ValidationError) as error:
+            return LogFailure(FailureKind.PROTOCOL, str(error), may_have_happened=True)
+
+    def read(self, start: int, limit: int, wait_ms: int) -> ReadOutcome:
+        """Read up to `limit` entries from `start`; wait for the first one up to `wait_ms`."""
+        started_ms = self._clock()
+        path = f"/v1/records?from={start}&limit={limit}&wait_ms={wait_ms}"
+        response = self._call(self._reads, "GET", path, wait_ms + self._read_timeout_ms, None)
+        if isinstance(response, LogFailure):
+            return response
+        try:
+            if response.status == 410:
+                bounds = decode(response.data, type=_Bounds)
+                return Expired(bounds.first, bounds.end)
+            if response.status != 200:
+                return _unexpected(response)
+            return _read_result(decode(response.data, type=_Page), started_ms)
+        except (DecodeError, ValidationError) as error:
+            return LogFailure(FailureKind.PROTOCOL, str(error), may_have_happened=False)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._appends.close()
+        self._reads.close()
+
+    def _call(
+        self, pool: HTTPConnectionPool, method: str, path: str, timeout_ms: int, body: bytes | None
+    ) -> BaseHTTPResponse | LogFailure:
+        timeout = Timeout(connect=CONNECT_TIMEOUT_MS / 1000, read=timeout_ms / 1000)
+        writes = body is not None
+        try:
+            return pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=_headers(pool, writes),
+                retries=False,
+                timeout=timeout,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            # No byte was sent.
+            return LogFailure(FailureKind.NOT_CONNECTED, str(error), may_have_happened=False)
+        except TimeoutError as error:
+            return LogFailure(FailureKind.TIMEOUT, str(error), may_have_happened=writes)
+        except HTTPError as error:
+            return LogFailure(FailureKind.BROKEN, str(error), may_have_happened=writes)
+
+
+def _headers(pool: HTTPConnectionPool, writes: bool) -> dict[str, str]:
+    common = dict(pool.headers)
+    return common | {"Content-Type": "application/json"} if writes else common
+
+
+def _unexpected(response: BaseHTTPResponse) -> LogFailure:
+    detail = f"status {response.status}: {response.data[:200].decode(errors='replace')}"
+    if response.status == 503:
+        # The protocol does not say that a 503 excludes an effect.
+        return LogFailure(FailureKind.UNAVAILABLE, detail, may_have_happened=True)
+    if response.status in REFUSED_RECORD:
+        return LogFailure(FailureKind.REJECTED, detail, may_have_happened=False)
+    return LogFailure(FailureKind.PROTOCOL, detail, may_have_happened=True)
+
+
+def _read_result(page: _Page, started_ms: int) -> ReadResult:
+    entries: list[Entry] = []
+    skipped: list[Skipped] = []
+    for stored in page.records:
+        try:
+            record = decode_record(stored.data)
+        except UndecodableRecordError as error:
+            skipped.append(Skipped(stored.offset, error.detail))
+            record = EMPTY_RECORD
+        entries.append(Entry(stored.offset, stored.at_ms, record))
+    return ReadResult(tuple(entries), page.first, page.end, started_ms, tuple(skipped))
--- /dev/null
+++ b/libs/logclient/src/hornbeamfold/logclient/codec.py
@@ -0,0 +1,95 @@
+"""The encoding of log records: JSON in which each event is tagged with its class name."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from msgspec import DecodeError, Raw, ValidationError
+from msgspec.json import Decoder, encode
+
+from hornbeamfold.model.errors import ErrorKind, HornbeamfoldError
+from hornbeamfold.model.events import EVENT_TYPES, Event, Record
+
+# The log service refuses larger records.
+MAX_RECORD_BYTES = 256 * 1024
+# Room for the writer, the sequence number and the brackets around the events.
+ENVELOPE_BYTES = 512
+MAX_EVENTS_BYTES = MAX_RECORD_BYTES - ENVELOPE_BYTES
+
+
+class UndecodableRecordError(HornbeamfoldError):
+    """A record that this version cannot read, for instance because of an unknown event."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ErrorKind.INTERNAL, detail)
+
+
+@dataclass(frozen=True)
+class _Envelope:
+    writer: str
+    seq: int
+    events: tuple[dict[str, Raw], ...]
+
+
+_envelope_decoder = Decoder(_Envelope)
+_event_decoders: dict[str, Decoder[Any]] = {
+    event_type.__name__: Decoder(event_type) for event_type in EVENT_TYPES
+}
+
+
+def encode_record(record: Record) -> str:
+    """Return the record as it is stored in the log."""
+    events = tuple({type(event).__name__: Raw(encode(event))} for event in record.events)
+    return encode(_Envelope(record.writer, record.seq, events)).decode()
+
+
+def decode_record(data: str) -> Record:
+    """Return the stored record; raise `UndecodableRecordError` if it cannot be read."""
+    try:
+        envelope = _envelope_decoder.decode(data)
+    except (DecodeError, ValidationError) as error:
+        raise UndecodableRecordError(f"not a record: {error}") from error
+    return Record(
+        envelope.writer, envelope.seq, tuple(_decode_event(tagged) for tagged in envelope.events)
+    )
+
+
+def encoded_size(event: Event) -> int:
+    """Return the bytes that an event takes in a record, with its tag and its separator."""
+    return len(encode(event)) + len(type(event).__name__) + 6
+
+
+def split_events(events: tuple[Event, ...]) -> tuple[tuple[Event, ...], ...]:
+    """Split events, in their order, into batches that each fit into one record."""
+    batches: list[tuple[Event, ...]] = []
+    batch: list[Event] = []
+    batch_size = 0
+    for event in events:
+        size = encoded_size(event)
+        if size > MAX_EVENTS_BYTES:
+            raise HornbeamfoldError(
+                ErrorKind.INVALID,
+                f"an event of {size} bytes does not fit into a log record of "
+                f"{MAX_RECORD_BYTES} bytes; make it smaller",
+            )
+        if batch and batch_size + size > MAX_EVENTS_BYTES:
+            batches.append(tuple(batch))
+            batch, batch_size = [], 0
+        batch.append(event)
+        batch_size += size
+    if batch:
+        batches.append(tuple(batch))
+    return tuple(batches)
+
+
+def _decode_event(tagged: dict[str, Raw]) -> Event:
+    if len(tagged) != 1:
+        raise UndecodableRecordError(f"an event has {len(tagged)} tags instead of one")
+    ((name, raw),) = tagged.items()
+    decoder = _event_decoders.get(name)
+    if decoder is None:
+        raise UndecodableRecordError(f"unknown event {name}; a newer version has written it")
+    try:
+        event: Event = decoder.decode(raw)
+    except (DecodeError, ValidationError) as error:
+        raise UndecodableRecordError(f"event {name}: {error}") from error
+    return event
--- /dev/null
+++ b/libs/logclient/tests/test_follow.py
@@ -0,0 +1,91 @@
+"""Tests of the reading loop, and of writer, client and loop together in a patched process."""
+
+import unittest
+from json import loads
+from pathlib import Path
+from subprocess import PIPE, Popen
+from sys import executable
+
+import eventlet
+import eventlet.hubs
+
+from hornbeamfold.logclient.follow import follow
+from hornbeamfold.logclient.outcomes import (
+    Expired,
+    FailureKind,
+    LogFailure,
+    ReadOutcome,
+    ReadResult,
+)
+from hornbeamfold.standins.launch import StandIn
+
+eventlet.hubs.use_hub("eventlet.hubs.asyncio")
+
+EVENTS = 200
+
+
+class FollowTest(unittest.TestCase):
+    def calls_in_half_a_second(self, outcome: ReadOutcome) -> tuple[int, list]:
+        """Return how often a read that always has this outcome is called, and the failures."""
+        calls: list[int] = []
+        failures: list = []
+
+        def read(start: int, limit: int, wait_ms: int) -> ReadOutcome:
+            calls.append(start)
+            return outcome
+
+        with eventlet.Timeout(0.5, False):
+            follow(read, lambda: 3, lambda *_: None, failures.append, lambda: 0)
+        return len(calls), failures
+
+    def test_no_outcome_makes_the_loop_spin(self) -> None:
+        """Guards against a busy loop while the log is down, empty, expired or reset."""
+        failure = LogFailure(FailureKind.NOT_CONNECTED, "refused", may_have_happened=False)
+        for outcome, bound, fails in (
+            (failure, 6, True),
+            (Expired(9, 12), 6, True),
+            (ReadResult((), 0, 1, 0), 6, True),
+            (ReadResult((), 0, 3, 0), 60, False),
+        ):
+            with self.subTest(outcome):
+                calls, failures = self.calls_in_half_a_second(outcome)
+                self.assertLess(calls, bound)
+                self.assertGreater(calls, 2)
+                self.assertEqual(bool(failures), fails)
+
+
+class PatchedProcessTest(unittest.TestCase):
+    def wait_for_messages(self, log: StandIn, count: int) -> None:
+        """Wait until the log service has got this many more calls."""
+
+        def messages() -> int:
+            return sum(pair["messages"] for pair in log.control("traffic")["pairs"])
+
+        enough = messages() + count
+        with eventlet.Timeout(20):
+            while messages() < enough:
+                eventlet.sleep(0.01)
+
+    def test_every_event_takes_effect_once_while_the_log_misbehaves(self) -> None:
+        """Guards against lost and doubled events with lost replies, late copies and outages."""
+        log = StandIn("log")
+        self.addCleanup(log.stop)
+        log.faults(lose_probability=0.2, lose_seed=7, duplicate_appends=5, slow_ms=5)
+        script = str(Path(__file__).with_name("patched_writer.py"))
+        writer = Popen(
+            [executable, "-W", "ignore", script, log.url, str(EVENTS)], stdout=PIPE, text=True
+        )
+        with writer:
+            self.addCleanup(writer.kill)
+            with eventlet.Timeout(20):
+                while log.control("log")["end"] < 5:
+                    eventlet.sleep(0.01)
+            log.faults(down="refuse")
+            log.faults(down="unavailable")
+            self.wait_for_messages(log, 4)
+            log.faults(down="")
+            output, _ = writer.communicate(timeout=60)
+        result = loads(output)
+        self.assertEqual(sorted(map(int, result["accepted"])), list(range(EVENTS)))
+        self.assertEqual((result["done"], result["drained"]), (EVENTS, True))
+        self.assertGreater(result["failures"], 0)
