Add worker choice, fair queue, outlier table and retry budget

Requests need a worker, a place in the queue or an early refusal without any call to another process. Router keeps the load that one instance knows and takes the better of two candidates from its own subset, else from all candidates. Load reports hold only the slots that nobody counts otherwise, because peers' digests come four times as often as reports.

--- a/libs/routing/src/hornbeamfold/routing/__init__.py
+++ b/libs/routing/src/hornbeamfold/routing/__init__.py
@@ -1,1 +1,32 @@
 """Worker choice, retry budget, hedging, fair queue and shedding."""
+
+from hornbeamfold.routing.candidates import (
+    Candidate,
+    Candidates,
+    Choice,
+    Links,
+    Load,
+    make_candidates,
+)
+from hornbeamfold.routing.fair_queue import FairQueue, Queued, Waiting
+from hornbeamfold.routing.latency import LatencyTable
+from hornbeamfold.routing.outliers import Blame, OutlierTable
+from hornbeamfold.routing.retry_budget import RetryBudget
+from hornbeamfold.routing.router import Router
+
+__all__ = [
+    "Blame",
+    "Candidate",
+    "Candidates",
+    "Choice",
+    "FairQueue",
+    "LatencyTable",
+    "Links",
+    "Load",
+    "OutlierTable",
+    "Queued",
+    "RetryBudget",
+    "Router",
+    "Waiting",
+    "make_candidates",
+]
