Limit aged patient requests to a share of the work while urgent ones wait

In a long overload every patient request passes the ageing bound of 20 s, and with the rule that aged requests go in front, urgent requests waited behind all of them. Aged requests now get 25% of the started work while urgent ones wait, and go first otherwise.

--- a/libs/routing/src/hornbeamfold/routing/fair_queue.py
+++ b/libs/routing/src/hornbeamfold/routing/fair_queue.py
@@ -12,6 +12,11 @@
 P = TypeVar("P")
 Key = tuple[str, str]
 
+# While urgent requests wait, aged patient ones get this share of the work that is started.
+# Without a limit, a long overload ages all patient requests, and urgent ones wait behind them.
+AGED_SHARE = 0.25
+# Limits how much aged work starts in a row after a time without any.
+MAX_AGED_CREDIT_MS = 1_000.0
 MAX_STALE_DEADLINES = 64
 
 
@@ -145,6 +150,8 @@
         self._patient_by_age: OrderedDict[Key, Waiting[P]] = OrderedDict()
         self._deadlines: list[tuple[int, Key]] = []
         self._expired_ms = 0
+        self._aged_credit_ms = MAX_AGED_CREDIT_MS
+        self._undo: tuple[Key, float] = (("", ""), 0.0)
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -171,18 +178,20 @@
 
     def take(self, now_ms: int) -> Waiting[P] | None:
         """Remove and return the request that starts next, or None if none waits."""
-        oldest = next(iter(self._patient_by_age.values()), None)
-        aged = oldest is not None and now_ms - oldest.arrived_ms >= self._ageing_ms
-        waiting = oldest if aged else self._lanes[True].next() or self._lanes[False].next()
+        waiting = self._next(now_ms)
         if waiting is None:
             return None
         self._lanes[waiting.urgent].start(waiting)
         self._forget(waiting)
+        self._charge_aged(waiting, now_ms)
         return waiting
 
     def put_back(self, waiting: Waiting[P]) -> None:
         """Return a request that was taken but did not start to its former place."""
         self._lanes[waiting.urgent].push_front(waiting)
+        key, credit_ms = self._undo
+        if key == waiting.key:
+            self._aged_credit_ms = credit_ms
         self._remember(waiting)
         if waiting.deadline_ms <= self._expired_ms:
             self._watch(waiting)
@@ -211,6 +220,25 @@
             found.append(waiting)
         return tuple(found)
 
+    def _next(self, now_ms: int) -> Waiting[P] | None:
+        urgent = self._lanes[True].next()
+        oldest = next(iter(self._patient_by_age.values()), None)
+        if oldest is None or not self._is_aged(oldest, now_ms):
+            return urgent or self._lanes[False].next()
+        return oldest if urgent is None or self._aged_credit_ms >= 0.0 else urgent
+
+    def _is_aged(self, waiting: Waiting[P], now_ms: int) -> bool:
+        return not waiting.urgent and now_ms - waiting.arrived_ms >= self._ageing_ms
+
+    def _charge_aged(self, waiting: Waiting[P], now_ms: int) -> None:
+        """Charge an aged request to the credit, which the start of urgent ones restores."""
+        self._undo = (waiting.key, self._aged_credit_ms)
+        if waiting.urgent:
+            earned_ms = waiting.service_ms * AGED_SHARE / (1.0 - AGED_SHARE)
+            self._aged_credit_ms = min(MAX_AGED_CREDIT_MS, self._aged_credit_ms + earned_ms)
+        elif self._is_aged(waiting, now_ms) and self._lanes[True].size:
+            self._aged_credit_ms -= waiting.service_ms
+
     def _expected_wait_ms(self, waiting: Waiting[P], running: int) -> float:
         ahead_ms = self._lanes[waiting.urgent].ahead_ms(waiting)
         if not waiting.urgent:
