Use a worker again as soon as an own request on it ends

A worker that answered busy was left alone for 250 ms even when an own request on it ended and freed a slot, so slots stayed empty while requests waited.

--- a/libs/routing/src/hornbeamfold/routing/router.py
+++ b/libs/routing/src/hornbeamfold/routing/router.py
@@ -67,6 +67,8 @@
 
     def ended(self, worker: str) -> None:
         """Count a request as gone from the worker, whatever its outcome."""
+        # The slot that it leaves shows that the worker is not full any more.
+        self._held_until.pop(worker, None)
         left = self._own.get(worker, 0) - 1
         if left > 0:
             self._own[worker] = left
