Test the services with a client of another implementation

Cause: the adapters' own round trips cannot show that another client understands the server, nor what happens to calls that are cancelled. Change: a fake instance in its own process is called with grpcio, with the asyncio client and through the connection of a peer; calls are cancelled, time out, lose their reply and outlive a stop.

--- a/libs/rpc/tests/rpc_fake_instance.py
+++ b/libs/rpc/tests/rpc_fake_instance.py
@@ -1,6 +1,7 @@
 """A process that serves a fake frontend; the tests of rpc and of the tool call it.
 
-It prints its address and ends on SIGTERM. What happened is read back as the answer of the request
+Arguments: the bound of its stop in milliseconds and the address, 127.0.0.1:0 if left out. It prints
+its address and ends on SIGTERM. What happened is read back as the answer of the request
 ("probe", "events").
 """
 
@@ -57,6 +58,7 @@
 
     def _wait(self, name: str) -> None:
         self.gates[name] = Event()
+        self.events.append(f"waiting {name}")
         try:
             self.gates[name].wait()
             self.events.append(f"finished {name}")
@@ -179,7 +181,8 @@
     eventlet.monkey_patch()
     logging.basicConfig(level="ERROR")
     frontend = FakeFrontend()
-    handle = serve("127.0.0.1:0", build_services(frontend, frontend))
+    address = sys.argv[2] if len(sys.argv) > 2 else "127.0.0.1:0"
+    handle = serve(address, build_services(frontend, frontend))
     stop = Event()
     get_hub().loop.add_signal_handler(signal.SIGTERM, stop.send)
     print(handle.address, flush=True)
--- /dev/null
+++ b/libs/rpc/tests/rpc_fake_peer.py
@@ -0,0 +1,52 @@
+"""A process that uses the connection to a peer; it prints one line for each outcome.
+
+Arguments: the address of an instance and of a port where nobody listens.
+"""
+
+import os
+
+os.environ["EVENTLET_HUB"] = "asyncio"
+
+import sys
+from types import MappingProxyType
+
+import eventlet
+
+from hornbeamfold.model.status import PeerHeartbeat
+from hornbeamfold.rpc.peers import PeerConnection
+
+HEARTBEAT = PeerHeartbeat(
+    *("entry-2", "i", "127.0.0.1:8", "sfax", "sahel-south", False, 4, 3, 20, True),
+    heard=("entry-1",),
+    in_flight=MappingProxyType({"w1": 2}),
+    set_aside=(),
+    settled=True,
+)
+
+
+def main() -> None:
+    """Call an instance until it ends."""
+    eventlet.monkey_patch()
+    address, nobody = sys.argv[1:]
+    peer = PeerConnection(address)
+    for _ in range(3):
+        print("sent", peer.send_heartbeat(HEARTBEAT, 2_000), flush=True)
+    print("found", peer.find_answer("o", "r", 2_000), flush=True)
+    print("read", len(peer.read_records(3, 2, 2_000).entries), flush=True)  # type: ignore[union-attr]
+    print("invalid", peer.read_records(3, 0, 2_000), flush=True)
+    print("late", peer.find_answer("o", "wait", 200), flush=True)
+    print("nobody", PeerConnection(nobody).send_heartbeat(HEARTBEAT, 2_000), flush=True)
+    print("again", peer.send_heartbeat(HEARTBEAT, 2_000), flush=True)
+    sys.stdin.readline()
+    # The instance was killed; the loss may show only with the second heartbeat after it.
+    outcomes = [peer.send_heartbeat(HEARTBEAT, 2_000) for _ in range(2)]
+    print("killed", outcomes[-1], flush=True)
+    sys.stdin.readline()
+    print("restarted", peer.send_heartbeat(HEARTBEAT, 2_000), flush=True)
+    peer.close()
+    peer.close()
+    print("closed", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/rpc/tests/rpc_processes.py
@@ -0,0 +1,37 @@
+"""Starts the processes that the tests of this library talk to."""
+
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+
+def start(case: unittest.TestCase, script: str, *arguments: str) -> "subprocess.Popen[str]":
+    """Start a script of this folder; it is killed when the test ends."""
+    process = subprocess.Popen(
+        [sys.executable, "-W", "ignore", str(Path(__file__).with_name(script)), *arguments],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+    def end() -> None:
+        process.kill()
+        process.communicate()
+
+    case.addCleanup(end)
+    return process
+
+
+def read_line(process: "subprocess.Popen[str]") -> str:
+    """Return the next line that a process prints."""
+    assert process.stdout is not None
+    return process.stdout.readline().strip()
+
+
+def press_enter(process: "subprocess.Popen[str]") -> None:
+    """Let a process that waits for a line go on."""
+    assert process.stdin is not None
+    process.stdin.write("\n")
+    process.stdin.flush()
--- /dev/null
+++ b/libs/rpc/tests/test_client.py
@@ -0,0 +1,92 @@
+"""Tests of the asyncio client: outcomes of lost and refused calls."""
+
+import asyncio
+import socket
+import threading
+import time
+import unittest
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
+
+from rpc_processes import read_line, start
+
+from hornbeamfold.model.errors import ErrorKind, Ran, Refused
+from hornbeamfold.model.status import JobStatus, RequestAnswer
+from hornbeamfold.model.topology import Shape
+from hornbeamfold.model.work import JobSpec, JobState, Request
+from hornbeamfold.rpc import client
+
+TIMEOUT_MS = 5_000
+
+
+def request(kind: str, body: str = "b") -> Request:
+    """Return a request with one minute left."""
+    deadline_ms = time.time_ns() // 1_000_000 + 60_000
+    return Request("rampes", "r1", kind, body, False, False, deadline_ms)
+
+
+@contextmanager
+def listener(answers: bool) -> Iterator[str]:
+    """Accept connections and never answer, or close each after its first bytes."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def close_each() -> None:
+            connection, _ = server.accept()
+            connection.recv(1)
+            connection.close()
+
+        thread = threading.Thread(target=close_each, daemon=True)
+        if answers:
+            thread.start()
+        yield f"127.0.0.1:{server.getsockname()[1]}"
+        if answers:
+            thread.join()
+
+
+async def collect(statuses: AsyncIterator[JobStatus | Refused]) -> list[JobStatus | Refused]:
+    """Return all items of a stream."""
+    return [status async for status in statuses]
+
+
+class ClientTest(unittest.TestCase):
+    def assert_refused(self, outcome: object, kind: ErrorKind, ran: Ran) -> None:
+        assert isinstance(outcome, Refused), outcome
+        self.assertEqual((outcome.kind, outcome.effective_ran), (kind, ran))
+
+    def test_no_connection(self) -> None:
+        """Guards against "not run" for a call that may have been sent, or the other way round."""
+        with socket.create_server(("127.0.0.1", 0)) as unused:
+            nobody = f"127.0.0.1:{unused.getsockname()[1]}"
+        outcome = asyncio.run(client.submit(nobody, request("echo"), TIMEOUT_MS))
+        self.assert_refused(outcome, ErrorKind.UNREACHABLE, Ran.NOT_RUN)
+        outcome = asyncio.run(client.submit("nowhere", request("echo"), TIMEOUT_MS))
+        self.assert_refused(outcome, ErrorKind.INVALID, Ran.NOT_RUN)
+
+    def test_a_lost_reply(self) -> None:
+        """Guards against repeating a change whose reply was lost."""
+        for answers, timeout_ms in ((False, 200), (True, TIMEOUT_MS)):
+            with self.subTest(answers=answers):
+                with listener(answers) as address:
+                    outcome = asyncio.run(client.submit(address, request("echo"), timeout_ms))
+                self.assert_refused(outcome, ErrorKind.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+                kind = ErrorKind.UNREACHABLE if answers else ErrorKind.DEADLINE_PASSED
+                with listener(answers) as address:
+                    read = asyncio.run(client.get_configuration(address, timeout_ms))
+                self.assert_refused(read, kind, Ran.NOT_RUN)
+
+    def test_outcomes_of_an_instance(self) -> None:
+        """Guards against outcomes that lose the kind, the detail or whether the work ran."""
+        address = read_line(start(self, "rpc_fake_instance.py", "500"))
+        answer = asyncio.run(client.submit(address, request("echo", "é"), TIMEOUT_MS))
+        self.assertEqual(answer, RequestAnswer("rampes", "r1", "é", "worker-1", "done", "d"))
+        for kind in ErrorKind:
+            refused = asyncio.run(client.submit(address, request("refuse", kind), TIMEOUT_MS))
+            self.assertEqual(refused, Refused(kind, "détail", Ran.UNKNOWN))
+        spec = JobSpec("rampes", "j1", "proof", "b", Shape(8), 1_000)
+        asyncio.run(client.submit_job(address, spec, TIMEOUT_MS))
+        following = client.follow_job(address, "rampes", "j1", TIMEOUT_MS)
+        statuses = asyncio.run(collect(following))
+        states = [item.job.state for item in statuses if isinstance(item, JobStatus)]
+        self.assertEqual(states, [JobState.QUEUED, JobState.FINISHED])
+        missing = asyncio.run(collect(client.follow_job(address, "rampes", "none", TIMEOUT_MS)))
+        self.assertEqual(missing, [Refused(ErrorKind.NOT_FOUND, "no job", Ran.NOT_RUN)])
