Reserve for the first urgent job beside the first aged one

Cause: with one reservation, a large urgent job waited for every aged patient job before it. Change: aged patient and urgent jobs have one reservation each; a job is placed outside both or ends before the ones that it uses.

--- a/libs/placement/src/hornbeamfold/placement/plan.py
+++ b/libs/placement/src/hornbeamfold/placement/plan.py
@@ -1,6 +1,7 @@
 """The whole decision: judge, place, reclaim and backfill, as one consistent batch."""
 
 from collections.abc import Iterable
+from enum import Enum
 
 from hornbeamfold.model import ACTIVE_JOBS, Job, JobJudged, JobState, Shape
 from hornbeamfold.placement.backfill import HeadReservation, reserve_head
@@ -10,7 +11,7 @@
 from hornbeamfold.placement.estimates import estimated_ms
 from hornbeamfold.placement.fit import infeasible_reason
 from hornbeamfold.placement.guarantees import entitled_queue
-from hornbeamfold.placement.queue import ordered
+from hornbeamfold.placement.queue import is_aged, ordered
 
 # One call looks at so many queued jobs behind the head. A job further back is seldom the one that
 # fits, and the next call, after these decisions, starts from the head again.
@@ -19,6 +20,18 @@
 PLACEMENTS_PER_PLAN = 64
 
 
+class _Group(Enum):
+    """Groups of queued jobs that have a reservation each.
+
+    Urgent jobs have one beside the aged patient jobs: with a single one, a large urgent job would
+    wait for every aged job before it.
+    """
+
+    AGED = 0
+    URGENT = 1
+    PATIENT = 2
+
+
 def plan(state: PlanningState, now_ms: int) -> tuple[Decision, ...]:
     """Return the decisions for this state; later ones see the effect of earlier ones."""
     active: list[Job] = []
@@ -70,9 +83,8 @@
     entitled = [job for job in draft.queued if job.key in draft.entitled]
     entitled.sort(key=lambda job: (not job.spec.urgent, job.submitted_ms, job.key))
     place_entitled(draft, entitled)
-    head: HeadReservation | None = None
-    blocked = False
-    failed: set[Shape] = set()
+    heads: dict[_Group, HeadReservation | None] = {}
+    failed: set[tuple[Shape, frozenset[_Group]]] = set()
     looked = 0
     for job in order:
         if job.key in draft.entitled:
@@ -80,38 +92,51 @@
         looked += 1
         if looked > LOOKED_AT or len(draft.placed) >= PLACEMENTS_PER_PLAN:
             break
-        shape = job.spec.shape
-        if not blocked:
-            found = draft.find(job)
-            if found is not None:
-                draft.place(job, found.members, "first in order, smallest sufficient free run")
-                continue
-            blocked = True
-            head = reserve_head(shape, draft.index, draft.tenants, draft.now_ms)
-            if head is not None:
-                draft.index.hold(head.members)
-            failed.add(shape)
+        if _place_behind(draft, job, heads, failed):
             continue
-        _backfill(draft, job, head, failed)
+        group = _group_of(job, draft.now_ms)
+        if group in heads or (group is _Group.PATIENT and heads):
+            continue
+        head = reserve_head(job.spec.shape, draft.index, draft.tenants, draft.now_ms)
+        heads[group] = head
+        if head is not None:
+            draft.index.hold(head.members)
+
 
+def _group_of(job: Job, now_ms: int) -> _Group:
+    if is_aged(job, now_ms):
+        return _Group.AGED
+    return _Group.URGENT if job.spec.urgent else _Group.PATIENT
 
-def _backfill(draft: Draft, job: Job, head: HeadReservation | None, failed: set[Shape]) -> None:
-    shape = job.spec.shape
+
+def _place_behind(
+    draft: Draft,
+    job: Job,
+    heads: dict[_Group, HeadReservation | None],
+    failed: set[tuple[Shape, frozenset[_Group]]],
+) -> bool:
+    """Place a job outside the reservations, or inside those before whose start it ends."""
     ends = draft.now_ms + estimated_ms(job.spec, draft.state.estimates)
-    short = head is not None and ends <= head.start_ms
-    if shape in failed:
-        return
-    found = draft.find(job)
-    if found is not None:
-        draft.place(job, found.members, "outside the reservation for the head of the queue")
-        return
-    if head is None or not short:
-        # A short job of this shape may still fit inside the reservation.
-        return
-    draft.index.hold(head.members, -1)
+    passed = {
+        group: head for group, head in heads.items() if head is not None and ends <= head.start_ms
+    }
+    # What was tried with the same reservations in force fails again, because room only shrinks.
+    attempt = (job.spec.shape, frozenset(heads).difference(passed))
+    if attempt in failed:
+        return False
+    for head in passed.values():
+        draft.index.hold(head.members, -1)
     found = draft.find(job)
-    if found is not None:
-        draft.place(job, found.members, "ends before the reservation for the head of the queue")
+    for head in passed.values():
+        draft.index.hold(head.members)
+    if found is None:
+        failed.add(attempt)
+        return False
+    if not heads:
+        reason = "first in order, smallest sufficient free run"
+    elif passed:
+        reason = "ends before the reservation for the head of the queue"
     else:
-        failed.add(shape)
-    draft.index.hold(head.members)
+        reason = "outside the reservation for the head of the queue"
+    draft.place(job, found.members, reason)
+    return True
