--- a/libs/logclient/src/hornbeamfold/logclient/__init__.py
+++ b/libs/logclient/src/hornbeamfold/logclient/__init__.py
@@ -20,6 +20,7 @@
     ReadResult,
     Skipped,
 )
+from hornbeamfold.logclient.signals import Signal
 from hornbeamfold.logclient.ticket import Ticket
 from hornbeamfold.logclient.writer import LogWriter
 
@@ -34,6 +35,7 @@
     "LogWriter",
     "ReadOutcome",
     "ReadResult",
+    "Signal",
     "Skipped",
     "Ticket",
     "UndecodableRecordError",
