--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -288,7 +288,7 @@
     http = serve_http(settings.http_address, ready)
     logger.info(
         "Serving",
-        extra={"rpc_address": server.address, "http_address": http, "process": os.getpid()},
+        extra={"rpc_address": server.address, "http_address": http, "pid": os.getpid()},
     )
     return server
 
--- a/libs/daemon/src/hornbeamfold/daemon/main.py
+++ b/libs/daemon/src/hornbeamfold/daemon/main.py
@@ -16,7 +16,7 @@
 hubs.use_hub("eventlet.hubs.asyncio")
 eventlet.monkey_patch()
 
-from typer import Exit, Option, echo, run  # noqa: E402
+from typer import Exit, Option, Typer, echo  # noqa: E402
 
 from hornbeamfold.daemon.instance import Lifecycle, build, start, stop  # noqa: E402
 from hornbeamfold.settings import SettingsFaults, describe_faults, read_settings  # noqa: E402
@@ -70,7 +70,9 @@
 
 def main() -> None:
     """Run the daemon from the command line."""
-    run(serve)
+    app = Typer(add_completion=False, pretty_exceptions_enable=False)
+    app.command()(serve)
+    app()
 
 
 if __name__ == "__main__":
