Measure partial gangs from when they became partial; test the view

Cause: a gang that stops as planned was counted as partial from the start of its stop, although its members still all ran; and the fold had no tests. Change: the state keeps the time since which each gang runs partly.

--- a/libs/view/src/hornbeamfold/view/encoding.py
+++ b/libs/view/src/hornbeamfold/view/encoding.py
@@ -31,6 +31,7 @@
     draining: list[str]
     jobs: list[Job]
     ended: list[tuple[str, str, int]]
+    partial_since: list[tuple[str, str, int]]
     claims: list[Claim]
     writers: list[tuple[str, int, int]]
     reservations: list[Reservation]
@@ -55,6 +56,7 @@
             draining=list(state.draining),
             jobs=list(state.jobs.values()),
             ended=[(*key, at_ms) for key, at_ms in state.ended.items()],
+            partial_since=[(*key, at_ms) for key, at_ms in state.partial_since.items()],
             claims=list(state.claims.values()),
             writers=[(writer, *last) for writer, last in state.writers.items()],
             reservations=list(state.reservations.by_job.values()),
@@ -76,8 +78,10 @@
     state.workers = {worker.name: worker for worker in encoded.workers}
     state.draining = dict.fromkeys(encoded.draining)
     state.writers.update((writer, (seq, at_ms)) for writer, seq, at_ms in encoded.writers)
-    # Set before the jobs, so that these keep the time at which they ended.
+    # Set before the jobs, so that these keep the times at which they ended or became partial.
     state.ended.update(((name, job_id), at_ms) for name, job_id, at_ms in encoded.ended)
+    for name, job_id, at_ms in encoded.partial_since:
+        state.partial_since[(name, job_id)] = at_ms
     for worker in encoded.workers:
         region = state.zones[worker.availability_zone].region
         state.capacities.put_worker(worker, region, state.is_eligible(worker))
--- a/libs/view/src/hornbeamfold/view/gangs.py
+++ b/libs/view/src/hornbeamfold/view/gangs.py
@@ -8,22 +8,18 @@
 def partial_gangs(view: View, now_ms: int) -> tuple[Job, ...]:
     """Report and return the gangs that have run partly for longer than the bound.
 
-    Only jobs that start or stop can run partly, so the cost is proportional to these.
+    `now_ms` is a time of the log. The cost is proportional to the gangs that run partly.
     """
     partial = []
-    for job in view.unsettled.values():
-        running = sum(status.state is MemberState.RUNNING for status in job.members)
-        if running in (0, len(job.members)):
-            continue
-        # A gang that never ran as a whole has run partly since its placement.
-        since_ms = job.stopping_ms if job.running_ms else job.placed_ms
-        if now_ms - since_ms <= PARTIAL_GANG_BOUND_MS:
+    for key, since_ms in view.state.partial_since.items():
+        partly_ms = now_ms - since_ms
+        if partly_ms <= PARTIAL_GANG_BOUND_MS:
             continue
+        job = view.jobs[key]
         partial.append(job)
-        check(
-            "I1",
-            False,
-            f"{running} of {len(job.members)} members of job {job.key} have run for "
-            f"{now_ms - since_ms} ms without the others",
+        running = sum(status.state is MemberState.RUNNING for status in job.members)
+        detail = (
+            f"{running} of {len(job.members)} members of job {key} run alone for {partly_ms} ms"
         )
+        check("I1", False, detail)
     return tuple(partial)
--- a/libs/view/src/hornbeamfold/view/state.py
+++ b/libs/view/src/hornbeamfold/view/state.py
@@ -9,6 +9,7 @@
     Claim,
     Job,
     JobState,
+    MemberState,
     Organisation,
     Worker,
 )
@@ -26,6 +27,17 @@
 UNSETTLED_JOBS = frozenset({JobState.PLACED, JobState.STOPPING})
 
 
+def is_partial(job: Job) -> bool:
+    """Return whether some members of a gang run and others do not.
+
+    In a gang that runs, members may finish at different times, so it never counts as partial.
+    """
+    if job.state not in UNSETTLED_JOBS:
+        return False
+    running = sum(status.state is MemberState.RUNNING for status in job.members)
+    return 0 < running < len(job.members)
+
+
 class State:
     """Everything that decides later verdicts; only the fold functions change it.
 
@@ -49,6 +61,8 @@
         self.ended: OrderedDict[JobKey, int] = OrderedDict()
         # Last sequence number of each writer and its time, the most silent writer first.
         self.writers: OrderedDict[str, tuple[int, int]] = OrderedDict()
+        # Time since which each gang has run with only some of its members.
+        self.partial_since: dict[JobKey, int] = {}
         self.capacities = Capacities()
         self.reservations = Reservations()
         self.estimates = Estimates()
@@ -78,6 +92,10 @@
         self.jobs[key] = job
         _index(self.queued, job, job.state is JobState.QUEUED)
         _index(self.unsettled, job, job.state in UNSETTLED_JOBS)
+        if is_partial(job):
+            self.partial_since.setdefault(key, self.at_ms)
+        else:
+            self.partial_since.pop(key, None)
         if job.state in ENDED_JOBS and key not in self.ended:
             self.ended[key] = self.at_ms
 
--- /dev/null
+++ b/libs/view/tests/test_snapshot.py
@@ -0,0 +1,63 @@
+"""Tests of snapshots; that a restored view folds on alike is in `test_view`."""
+
+from base64 import b64encode
+from collections.abc import Iterable
+from dataclasses import replace
+from random import Random
+
+from view_folding import ViewMixin, make_spec
+
+from hornbeamfold.model import InvariantViolationError, JobSubmitted, SnapshotPart, configure
+from hornbeamfold.view import SnapshotCollector, View, may_replace, snapshot_parts, verify_snapshot
+from hornbeamfold.view.snapshot import MAX_INCOMPLETE
+
+
+class SnapshotTest(ViewMixin):
+    def setUp(self) -> None:
+        super().setUp()
+        # Random text does not compress, so the snapshot has several parts.
+        body = b64encode(Random(1).randbytes(300_000)).decode()
+        self.accept(JobSubmitted(make_spec(body=body)))
+        self.parts = snapshot_parts(self.view)
+        self.collector = SnapshotCollector()
+
+    def restore(self, parts: Iterable[SnapshotPart]) -> View:
+        """Add parts and return the view that the last one completes."""
+        views = [self.collector.add(part) for part in parts]
+        self.assertEqual(views[:-1], [None] * (len(views) - 1))
+        assert views[-1] is not None
+        return views[-1]
+
+    def test_parts_in_any_order(self) -> None:
+        """Guards against a part above the record limit and a restore from part of a snapshot."""
+        self.assertGreater(len(self.parts), 1)
+        self.assertLess(max(len(part.data) for part in self.parts), 200 * 1024)
+        restored = self.restore([self.parts[-1], *reversed(self.parts)])
+        self.assertEqual(restored.digest(), self.view.digest())
+        self.assertEqual(restored.offset, self.parts[0].as_of)
+        self.assertIsNone(self.collector.add(self.parts[0]))
+
+    def test_damaged_or_interrupted_snapshot(self) -> None:
+        """Guards against state that its writer did not fold (I8) and parts that stay for ever."""
+        for data in ("!", self.parts[0].data):
+            with self.assertRaises(InvariantViolationError):
+                self.collector.add(replace(self.parts[0], parts=1, data=data))
+        for newer in range(MAX_INCOMPLETE + 1):
+            self.collector.add(replace(self.parts[0], as_of=self.parts[0].as_of + newer))
+        self.assertEqual({self.collector.add(part) for part in self.parts[1:]}, {None})
+
+    def test_different_states_are_noticed(self) -> None:
+        """Guards against diverged folds (I8) and a configuration that goes back (I6)."""
+        restored = self.restore(self.parts)
+        self.assertTrue(may_replace(self.view, restored))
+        self.assertFalse(may_replace(self.view, View()))
+        self.accept(JobSubmitted(make_spec("k")))
+        tail = self.entries[restored.offset :]
+        self.assertTrue(verify_snapshot(self.view, restored, tail))
+        restored.state.configuration_offset -= 1
+        for check in (may_replace, lambda view, other: verify_snapshot(view, other, ())):
+            configure(lambda name, detail: None, True)
+            with self.assertRaises(InvariantViolationError):
+                check(self.view, restored)
+            configure(lambda name, detail: None, False)
+            self.assertFalse(check(self.view, restored))
