Yield slots to peers that have less than their fair share

Load digests now carry the number of waiting requests; an instance at or above its max-min share leaves a slot free while a peer with waiting requests is short of its share.

--- a/libs/bench/src/hornbeamfold/bench/request_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/request_trial.py
@@ -344,6 +344,8 @@
     now_ms = world.now_ms
     for late in site.queue.expired(now_ms):
         refuse(world, late.payload)
+    if len(site.queue) and site.router.exceeds_share(site.candidates, len(site.queue)):
+        return None
     while (waiting := site.queue.take(now_ms)) is not None:
         job = waiting.payload
         if job.outcome:
@@ -521,19 +523,25 @@
         return
     late_ms = LATE_BY_MS if LATE_REPORTS_MS[0] <= world.now < LATE_REPORTS_MS[1] else 0.0
     digest = dict(site.router.in_flight)
+    waiting = len(site.queue)
     aside = site.outliers.set_aside()
     for peer in world.sites:
         if peer is not site:
             travel_ms = world.travel_ms(site.zone, peer.zone, 400)
-            world.after(late_ms + travel_ms, hear, world, peer, site.name, digest, aside)
+            world.after(late_ms + travel_ms, hear, world, peer, site.name, digest, waiting, aside)
     world.after(DIGEST_MS, send_digests, world, site)
 
 
 def hear(
-    world: World, site: Site, peer: str, digest: dict[str, int], aside: tuple[str, ...]
+    world: World,
+    site: Site,
+    peer: str,
+    digest: dict[str, int],
+    waiting: int,
+    aside: tuple[str, ...],
 ) -> None:
     """Take over a peer's digest."""
-    site.router.peer_reported(peer, digest, world.now_ms)
+    site.router.peer_reported(peer, digest, waiting, world.now_ms)
     site.outliers.hint(peer, aside, world.now_ms)
     world.pump(site)
 
--- a/libs/routing/src/hornbeamfold/routing/candidates.py
+++ b/libs/routing/src/hornbeamfold/routing/candidates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from functools import cached_property
 
 from hornbeamfold.model.topology import WorkerCapacity
 
@@ -27,6 +28,11 @@
     own: tuple[Candidate, ...]
     every: tuple[Candidate, ...]
 
+    @cached_property
+    def slots(self) -> int:
+        """The slots of all candidates."""
+        return sum(candidate.free_slots for candidate in self.every)
+
 
 @dataclass(frozen=True)
 class Load:
--- a/libs/routing/src/hornbeamfold/routing/router.py
+++ b/libs/routing/src/hornbeamfold/routing/router.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Mapping, Sequence
 from collections.abc import Set as AbstractSet
+from dataclasses import dataclass
 from math import ceil
 from random import Random
 
 from hornbeamfold.model.errors import ErrorKind, Refused
 from hornbeamfold.model.work import Request
 from hornbeamfold.routing.candidates import Candidate, Candidates, Choice, Links, Load
+from hornbeamfold.routing.instance_share import fair_share
 from hornbeamfold.routing.latency import LatencyTable
 
 CHOICES = 2
@@ -22,10 +24,22 @@
 CROWDING = 0.5
 SLOWNESS_WEIGHT = 0.1
 ANSWER_BYTES_WEIGHT = 0.1
+# A peer that is short of less than this is left to catch up by itself.
+SHARE_SLACK = 1.0
 # Primes as strides, so that a walk from a random start visits each candidate once.
 STRIDES = (1, 7, 13, 29, 43, 61, 89, 113)
 
 
+@dataclass(frozen=True)
+class _Digest:
+    """The load digest of a peer and when it came."""
+
+    at_ms: int
+    in_flight: Mapping[str, int]
+    in_flight_total: int
+    waiting: int
+
+
 class Router:
     """The load known to one instance."""
 
@@ -45,7 +59,8 @@
         self._latencies = latencies
         self._rng = rng
         self._own: dict[str, int] = {}
-        self._peers: dict[str, tuple[int, Mapping[str, int]]] = {}
+        self._own_total = 0
+        self._peers: dict[str, _Digest] = {}
         self._peers_total: dict[str, int] = {}
         self._reports: dict[str, tuple[int, int]] = {}
         self._held_until: dict[str, int] = {}
@@ -64,11 +79,13 @@
     def started(self, worker: str) -> None:
         """Count a request as on the worker from its choice on."""
         self._own[worker] = self._own.get(worker, 0) + 1
+        self._own_total += 1
 
     def ended(self, worker: str) -> None:
         """Count a request as gone from the worker, whatever its outcome."""
         # The slot that it leaves shows that the worker is not full any more.
         self._held_until.pop(worker, None)
+        self._own_total -= 1
         left = self._own.get(worker, 0) - 1
         if left > 0:
             self._own[worker] = left
@@ -95,15 +112,31 @@
         counted = self._own.get(worker, 0) + self._peers_total.get(worker, 0)
         self._reports[worker] = (now_ms, max(0, log_free_slots - free_slots - counted))
 
-    def peer_reported(self, peer: str, in_flight: Mapping[str, int], now_ms: int) -> None:
+    def peer_reported(
+        self, peer: str, in_flight: Mapping[str, int], waiting: int, now_ms: int
+    ) -> None:
         """Take over a peer's load digest, and drop those of peers that are silent."""
         self._replace(peer, in_flight)
-        self._peers[peer] = (now_ms, in_flight)
-        for name, (at_ms, _) in list(self._peers.items()):
-            if now_ms - at_ms > PEER_KEEP_MS:
+        self._peers[peer] = _Digest(now_ms, in_flight, sum(in_flight.values()), waiting)
+        for name, digest in list(self._peers.items()):
+            if now_ms - digest.at_ms > PEER_KEEP_MS:
                 self._replace(name, {})
                 del self._peers[name]
 
+    def exceeds_share(self, candidates: Candidates, waiting: int) -> bool:
+        """Return whether this instance should leave a slot to a peer that has too few.
+
+        Without this, an instance that reuses its slots at once keeps them through an overload.
+        """
+        peers = self._peers.values()
+        if not any(digest.waiting for digest in peers):
+            return False
+        demands = [digest.in_flight_total + digest.waiting for digest in peers]
+        share = fair_share(candidates.slots, [*demands, self._own_total + waiting])
+        if self._own_total < share:
+            return False
+        return any(d.waiting and d.in_flight_total < share - SHARE_SLACK for d in peers)
+
     def load(self, worker: str, now_ms: int) -> Load:
         """Return what is known of a worker's load."""
         at_ms, extra = self._reports.get(worker, (-1, 0))
@@ -191,7 +224,8 @@
 
     def _replace(self, peer: str, in_flight: Mapping[str, int]) -> None:
         totals = self._peers_total
-        _, before = self._peers.get(peer, (0, {}))
+        known = self._peers.get(peer)
+        before = known.in_flight if known is not None else {}
         for worker, count in before.items():
             totals[worker] = totals.get(worker, 0) - count
         for worker, count in in_flight.items():
--- a/libs/routing/tests/test_router.py
+++ b/libs/routing/tests/test_router.py
@@ -18,6 +18,7 @@
     Router,
     make_candidates,
 )
+from hornbeamfold.routing.instance_share import fair_share
 from hornbeamfold.routing.router import BUSY_HOLD_MS, PEER_KEEP_MS, REPORT_KEEP_MS
 
 SLOTS, CONNECTIONS = 8, 7
@@ -53,12 +54,14 @@
         """Guards against a request sent to a worker that is known to be full or excluded."""
         rng, target = Random(seed), router(seed)
         group = candidates(count, own=count // 3)
-        target.peer_reported("p", {f"w{n}": peers[n] for n in range(count) if peers[n]}, 0)
+        target.peer_reported("p", {f"w{n}": peers[n] for n in range(count) if peers[n]}, 0, 0)
         held: dict[str, int] = {}
         running: list[str] = []
         for now_ms, step in enumerate(steps):
             if step == "end" and running:
-                target.ended(running.pop(rng.randrange(len(running))))
+                ended = running.pop(rng.randrange(len(running)))
+                target.ended(ended)
+                held.pop(ended, None)
             if step == "report":
                 target.reported(f"w{rng.randrange(count)}", SLOTS, rng.randrange(SLOTS), now_ms)
             if step == "busy":
@@ -128,6 +131,32 @@
         self.assertTrue(found.crosses_regions)
 
 
+class ShareTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=100)
+    @given(st.integers(1, 200), st.lists(st.integers(0, 100), min_size=1, max_size=25))
+    def test_the_level_uses_all_slots_and_no_more(self, slots: int, demands: list[int]) -> None:
+        """Guards against slots that stay empty, and shares that exceed what is there."""
+        level = fair_share(slots, demands)
+        used = sum(min(demand, level) for demand in demands)
+        self.assertAlmostEqual(used, min(slots, sum(demands)))
+
+    def test_an_instance_yields_only_to_a_peer_that_is_short(self) -> None:
+        """Guards against slots kept by one instance through an overload, or given up in vain."""
+        group = candidates(4, own=2, slots=5)
+        for mine, peers, waiting, expected in (
+            (15, 5, 9, True),
+            (15, 5, 0, False),
+            (10, 10, 9, False),
+            (9, 5, 9, False),
+        ):
+            with self.subTest(mine=mine, peers=peers, waiting=waiting):
+                target = router()
+                for number in range(mine):
+                    target.started(f"w{number % 4}")
+                target.peer_reported("p", {"w0": peers}, waiting, 0)
+                self.assertEqual(target.exceeds_share(group, 20), expected)
+
+
 class LoadTest(unittest.TestCase):
     def test_load_that_nobody_counts_fades_with_its_age(self) -> None:
         """Guards against trusting a report for as long as no newer one comes."""
@@ -140,9 +169,9 @@
     def test_a_silent_peer_is_forgotten(self) -> None:
         """Guards against slots that a dead instance seems to hold for ever."""
         target = router()
-        target.peer_reported("dead", {"w0": 3}, 0)
-        target.peer_reported("live", {"w0": 1, "w1": 1}, 0)
-        target.peer_reported("live", {"w0": 2}, PEER_KEEP_MS + 1)
+        target.peer_reported("dead", {"w0": 3}, 0, 0)
+        target.peer_reported("live", {"w0": 1, "w1": 1}, 0, 0)
+        target.peer_reported("live", {"w0": 2}, 0, PEER_KEEP_MS + 1)
         self.assertEqual(target.load("w0", 0).peers_in_flight, 2)
         self.assertEqual(target.load("w1", 0).peers_in_flight, 0)
 
