Measure work in the trial by the time of the answered run

Work was counted by the planned service time and by when the answer came. Runs that take longer than planned then looked like idle slots, and the runs that a leaving zone finished looked like work of the remaining workers. The trial now counts the overlap of each first successful run with the time asked for, and only on workers of the remaining zones during the outage.

--- a/libs/bench/src/hornbeamfold/bench/request_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/request_trial.py
@@ -111,6 +111,7 @@
     arrived_ms: float
     service_ms: float
     poison: bool
+    run: tuple[float, float, str] = (0.0, 0.0, "")
     attempt: int = 0
     starts: int = 0
     sends: int = 0
@@ -259,11 +260,15 @@
             service_ms *= STRAGGLER_FACTOR
         if target.name == FAILING_WORKER and FAILING_MS[0] <= self.now < FAILING_MS[1]:
             service_ms, result = FAIL_FAST_MS, "failed"
-        self.after(service_ms, self._finish, site, job, target, result, sent_ms)
+        self.after(service_ms, self._finish, site, job, target, result, service_ms, sent_ms)
 
-    def _finish(self, site: Site, job: Job, target: Target, result: str, sent_ms: float) -> None:
+    def _finish(
+        self, site: Site, job: Job, target: Target, result: str, ran_ms: float, sent_ms: float
+    ) -> None:
         target.busy -= 1
         job.ran = result
+        if result == "done" and not job.run[2]:
+            job.run = (self.now - ran_ms, self.now, target.zone)
         travel_ms = self.travel_ms(target.zone, site.zone, job.kind.answer_bytes)
         outcome = "lost" if self.rng.random() < LOST_REPLY_SHARE else result
         self.after(travel_ms, self._reply, site, job, target.name, outcome, sent_ms)
@@ -589,10 +594,17 @@
     return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 1) if ordered else 0.0
 
 
-def slots_of(jobs: list[Job], begin_ms: float, end_ms: float) -> float:
-    """Return the mean number of slots whose work was answered within a time."""
-    done = [j for j in jobs if j.outcome == "done" and begin_ms <= j.ended_ms < end_ms]
-    return sum(j.service_ms for j in done) / (end_ms - begin_ms)
+def slots_of(jobs: list[Job], begin_ms: float, end_ms: float, without: str = "") -> float:
+    """Return the mean number of slots with work that was answered, all but one zone's.
+
+    The work of a request is its first successful run, so repeated runs add nothing.
+    """
+    work_ms = 0.0
+    for job in jobs:
+        started_ms, ended_ms, zone = job.run
+        if job.outcome == "done" and zone != without:
+            work_ms += max(0.0, min(end_ms, ended_ms) - max(begin_ms, started_ms))
+    return work_ms / (end_ms - begin_ms)
 
 
 def possible_slots(jobs: list[Job]) -> float:
@@ -615,7 +627,7 @@
     refused = [j for j in jobs if j.outcome in ("refused", "unknown")]
     begin, end = OUTAGE_MS
     length = end - begin
-    work_out = slots_of(jobs, begin, end)
+    work_out = slots_of(jobs, begin, end, OUTAGE_ZONE)
     return Result(
         policy=world.policy.name,
         seed=seed,
