--- a/libs/bench/src/hornbeamfold/bench/request_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/request_trial.py
@@ -111,6 +111,7 @@
     arrived_ms: float
     service_ms: float
     poison: bool
+    run: tuple[float, float, str] = (0.0, 0.0, "")
     attempt: int = 0
     starts: int = 0
     sends: int = 0
@@ -259,11 +260,15 @@
             service_ms *= STRAGGLER_FACTOR
         if target.name == FAILING_WORKER and FAILING_MS[0] <= self.now < FAILING_MS[1]:
             service_ms, result = FAIL_FAST_MS, "failed"
-        self.after(service_ms, self._finish, site, job, target, result, sent_ms)
+        self.after(service_ms, self._finish, site, job, target, result, service_ms, sent_ms)
 
-    def _finish(self, site: Site, job: Job, target: Target, result: str, sent_ms: float) -> None:
+    def _finish(
+        self, site: Site, job: Job, target: Target, result: str, ran_ms: float, sent_ms: float
+    ) -> None:
         target.busy -= 1
         job.ran = result
+        if result == "done" and not job.run[2]:
+            job.run = (self.now - ran_ms, self.now, target.zone)
         travel_ms = self.travel_ms(target.zone, site.zone, job.kind.answer_bytes)
         outcome = "lost" if self.rng.random() < LOST_REPLY_SHARE else result
         self.after(travel_ms, self._reply, site, job, target.name, outcome, sent_ms)
@@ -344,6 +349,8 @@
     now_ms = world.now_ms
     for late in site.queue.expired(now_ms):
         refuse(world, late.payload)
+    if len(site.queue) and site.router.exceeds_share(site.candidates, len(site.queue)):
+        return None
     while (waiting := site.queue.take(now_ms)) is not None:
         job = waiting.payload
         if job.outcome:
@@ -521,19 +528,25 @@
         return
     late_ms = LATE_BY_MS if LATE_REPORTS_MS[0] <= world.now < LATE_REPORTS_MS[1] else 0.0
     digest = dict(site.router.in_flight)
+    waiting = len(site.queue)
     aside = site.outliers.set_aside()
     for peer in world.sites:
         if peer is not site:
             travel_ms = world.travel_ms(site.zone, peer.zone, 400)
-            world.after(late_ms + travel_ms, hear, world, peer, site.name, digest, aside)
+            world.after(late_ms + travel_ms, hear, world, peer, site.name, digest, waiting, aside)
     world.after(DIGEST_MS, send_digests, world, site)
 
 
 def hear(
-    world: World, site: Site, peer: str, digest: dict[str, int], aside: tuple[str, ...]
+    world: World,
+    site: Site,
+    peer: str,
+    digest: dict[str, int],
+    waiting: int,
+    aside: tuple[str, ...],
 ) -> None:
     """Take over a peer's digest."""
-    site.router.peer_reported(peer, digest, world.now_ms)
+    site.router.peer_reported(peer, digest, waiting, world.now_ms)
     site.outliers.hint(peer, aside, world.now_ms)
     world.pump(site)
 
@@ -581,10 +594,17 @@
     return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 1) if ordered else 0.0
 
 
-def slots_of(jobs: list[Job], begin_ms: float, end_ms: float) -> float:
-    """Return the mean number of slots whose work was answered within a time."""
-    done = [j for j in jobs if j.outcome == "done" and begin_ms <= j.ended_ms < end_ms]
-    return sum(j.service_ms for j in done) / (end_ms - begin_ms)
+def slots_of(jobs: list[Job], begin_ms: float, end_ms: float, without: str = "") -> float:
+    """Return the mean number of slots with work that was answered, all but one zone's.
+
+    The work of a request is its first successful run, so repeated runs add nothing.
+    """
+    work_ms = 0.0
+    for job in jobs:
+        started_ms, ended_ms, zone = job.run
+        if job.outcome == "done" and zone != without:
+            work_ms += max(0.0, min(end_ms, ended_ms) - max(begin_ms, started_ms))
+    return work_ms / (end_ms - begin_ms)
 
 
 def possible_slots(jobs: list[Job]) -> float:
@@ -607,7 +627,7 @@
     refused = [j for j in jobs if j.outcome in ("refused", "unknown")]
     begin, end = OUTAGE_MS
     length = end - begin
-    work_out = slots_of(jobs, begin, end)
+    work_out = slots_of(jobs, begin, end, OUTAGE_ZONE)
     return Result(
         policy=world.policy.name,
         seed=seed,
