--- /dev/null
+++ b/libs/cli/src/hornbeamfold/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the tool: python -m hornbeamfold.cli."""
+
+from hornbeamfold.cli.main import main
+
+main()
