--- a/libs/bench/src/hornbeamfold/bench/request_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/request_trial.py
@@ -380,7 +380,8 @@
 
 def routed_hedge(world: World, site: Site, job: Job, first: str) -> None:
     """Start a second copy of a request that takes unusually long."""
-    if job.outcome or job.copies != 1 or job.worker != first or not site.alive:
+    busy = bool(len(site.queue)) or not site.alive
+    if busy or job.outcome or job.copies != 1 or job.worker != first:
         return
     worker = routed_worker(site, job, world.now_ms, job.tried | {first})
     if worker is not None and site.budget.spend(world.now_ms):
