--- a/libs/rpc/tests/rpc_fake_peer.py
+++ b/libs/rpc/tests/rpc_fake_peer.py
@@ -16,8 +16,8 @@
 from hornbeamfold.rpc.peers import PeerConnection
 
 HEARTBEAT = PeerHeartbeat(
-    *("entry-2", "i", "127.0.0.1:8", "sfax", "sahel-south", False, 4, 3, 20, True),
-    heard=("entry-1",),
+    *(1, "entry-2", "i", "127.0.0.1:8", "sfax", "sahel-south", False, 4, 3, 20, True),
+    heard=MappingProxyType({"entry-1": 5}),
     in_flight=MappingProxyType({"w1": 2}),
     set_aside=(),
     settled=True,
--- a/libs/rpc/tests/test_adapters.py
+++ b/libs/rpc/tests/test_adapters.py
@@ -78,8 +78,9 @@
 )
 HEARTBEAT = st.builds(
     shown.PeerHeartbeat,
+    st.integers(1, 2**40),
     *(NAME, NAME, ADDRESS, NAME, NAME, st.booleans(), OFFSET, OFFSET, OFFSET, st.booleans()),
-    st.lists(NAME, max_size=3).map(tuple),
+    st.dictionaries(NAME, OFFSET, max_size=3).map(MappingProxyType),
     st.dictionaries(NAME, COUNT, max_size=3).map(MappingProxyType),
     st.lists(NAME, max_size=3).map(tuple),
     st.booleans(),
--- a/libs/rpc/tests/test_fields.py
+++ b/libs/rpc/tests/test_fields.py
@@ -34,6 +34,7 @@
     "connections": 1,
 }
 GOOD_HEARTBEAT = {
+    "seq": 1,
     "name": "e",
     "incarnation": "i",
     "address": "127.0.0.1:1",
--- a/libs/rpc/tests/test_services.py
+++ b/libs/rpc/tests/test_services.py
@@ -55,6 +55,7 @@
 def heartbeat(offset: int) -> dict[str, Any]:
     """Return the fields of a good heartbeat."""
     return {
+        "seq": 1,
         "name": "entry-2",
         "incarnation": "i",
         "address": "127.0.0.1:8",
--- a/libs/standins/tests/test_workers.py
+++ b/libs/standins/tests/test_workers.py
@@ -56,7 +56,8 @@
         expected = {"answer": answer, "request_id": "request/o/r/1", "digest": "d"}
         self.assertEqual(self.run_one("w1", "request/o/r/1", run_ms=20), (200, expected))
         found = call(self.url("w1", "run/request/o/r/1"))
-        self.assertEqual(found, (200, {"state": "finished", **expected}))
+        finished = {"state": "finished", "complete_since_ms": 0}
+        self.assertEqual(found, (200, {**finished, **expected}))
         self.assertEqual(self.run_one("w1", "f", fail=True)[0], 422)
         self.assertEqual(self.look_up("w1", "f"), "failed")
         self.assertEqual(self.look_up("w1", "never"), "unknown")
@@ -83,11 +84,13 @@
 
     def test_void_then_run_is_refused(self) -> None:
         """Guards against a run after a void was confirmed, and a void of what has run."""
-        self.assertEqual(call(self.url("w1", "run/a/void"), {}), (200, {"state": "voided"}))
+        voided = {"state": "voided", "complete_since_ms": 0}
+        self.assertEqual(call(self.url("w1", "run/a/void"), {}), (200, voided))
         self.assertEqual(self.run_one("w1", "a")[0], 409)
         self.assertEqual(self.starts(), [])
         self.run_one("w1", "b")
-        self.assertEqual(call(self.url("w1", "run/b/void"), {}), (200, {"state": "finished"}))
+        finished = {"state": "finished", "complete_since_ms": 0}
+        self.assertEqual(call(self.url("w1", "run/b/void"), {}), (200, finished))
         self.assertEqual(call(self.url("w2", "run/a/void"), {})[0], 404)
         self.assertFalse(call(self.url("w2", "sync"), {})[1]["supports_void"])
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,52 +1,40 @@
-"""Runs the unittest suites of the given libraries and prints one closing line."""
+"""Runs the unittest suites of the given libraries and prints one closing line.
+
+Each library is tested in a process of its own: eventlet, asyncio and the metrics keep state for
+the whole process, so suites that share one disturb one another.
+"""
 
 import re
+import subprocess
 import sys
 import unittest
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Several suites start processes and have time bounds, so only a few run side by side.
+PARALLEL = 3
+CLOSING = re.compile(r"^closing: (\d+) passed, (\d+) failed, (\d+) skipped$", re.MULTILINE)
+
+
+@dataclass(frozen=True)
+class Counts:
+    """How many tests passed, failed and were passed over."""
+
+    passed: int = 0
+    failed: int = 0
+    skipped: int = 0
 
 
 def known_red() -> list[str]:
-    """Return the ids of the tests that KNOWN-RED.txt lists as failing."""
+    """Return the ids (library:test) of the tests that KNOWN-RED.txt lists as failing."""
     if not KNOWN_RED.exists():
         return []
     return re.findall(r"^test: (\S+)", KNOWN_RED.read_text(), flags=re.MULTILINE)
 
 
-def collect(libs: list[str]) -> unittest.TestSuite:
-    """Load the tests of each library from its tests folder."""
-    suite = unittest.TestSuite()
-    for lib in libs:
-        tests = ROOT / lib / "tests"
-        if not tests.is_dir() or not any(tests.glob("test_*.py")):
-            continue
-        # Test modules of different libraries may share a name, so each folder gets a loader.
-        sys.path.insert(0, str(tests))
-        for path in sorted(tests.glob("test_*.py")):
-            suite.addTests(unittest.TestLoader().loadTestsFromName(path.stem))
-        sys.path.remove(str(tests))
-        for name, module in list(sys.modules.items()):
-            if str(getattr(module, "__file__", None) or "").startswith(str(tests)):
-                del sys.modules[name]
-    return suite
-
-
-def without(suite: unittest.TestSuite, names: list[str]) -> tuple[unittest.TestSuite, int]:
-    """Split off the listed tests; return the rest and how many were left out."""
-    kept = unittest.TestSuite()
-    left_out = 0
-    for case in flatten(suite):
-        if case.id() in names:
-            left_out += 1
-            print(f"known red, passed over: {case.id()}")
-            continue
-        kept.addTest(case)
-    return kept, left_out
-
-
 def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
     """Return the test cases of a nested suite in order."""
     cases: list[unittest.TestCase] = []
@@ -54,20 +42,61 @@
         if isinstance(item, unittest.TestSuite):
             cases.extend(flatten(item))
             continue
-        cases.append(item)  # type: ignore[arg-type]
+        cases.append(item)
     return cases
 
 
-def main() -> int:
-    """Run the suites; return 0 if all passed and at least one ran."""
-    suite, left_out = without(collect(sys.argv[1:]), known_red())
-    result = unittest.TextTestRunner(verbosity=1).run(suite)
+def run_library(lib: str) -> int:
+    """Run the tests of one library in this process."""
+    tests = ROOT / lib / "tests"
+    sys.path.insert(0, str(tests))
+    red = known_red()
+    suite = unittest.TestSuite()
+    left_out = 0
+    for path in sorted(tests.glob("test_*.py")):
+        for case in flatten(unittest.TestLoader().loadTestsFromName(path.stem)):
+            if f"{Path(lib).name}:{case.id()}" in red:
+                left_out += 1
+                print(f"known red, passed over: {Path(lib).name}:{case.id()}")
+                continue
+            suite.addTest(case)
+    result = unittest.TextTestRunner(stream=sys.stdout, verbosity=1).run(suite)
     failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    skipped = len(result.skipped) + left_out
-    passed = result.testsRun - failed - len(result.skipped)
+    skipped = len(result.skipped)
+    passed = result.testsRun - failed - skipped
+    print(f"closing: {passed} passed, {failed} failed, {skipped + left_out} skipped", flush=True)
+    return 0 if failed == 0 else 1
+
+
+def run_apart(lib: str) -> Counts:
+    """Run the tests of one library in a process and print its output as one block."""
+    child = subprocess.run(
+        [sys.executable, __file__, "--library", lib],
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        errors="replace",
+        check=False,
+    )
+    print(f"== {lib}\n{child.stdout}", flush=True)
+    closing = CLOSING.search(child.stdout)
+    if closing is None:
+        return Counts(failed=1)
+    return Counts(*(int(number) for number in closing.groups()))
+
+
+def main() -> int:
+    """Run the suites; return 0 if all passed and at least one test ran."""
+    libs = [lib for lib in sys.argv[1:] if any((ROOT / lib / "tests").glob("test_*.py"))]
+    with ThreadPoolExecutor(PARALLEL) as pool:
+        counts = list(pool.map(run_apart, libs))
+    passed = sum(one.passed for one in counts)
+    failed = sum(one.failed for one in counts)
+    skipped = sum(one.skipped for one in counts)
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     return 0 if failed == 0 and passed > 0 else 1
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_library(sys.argv[2]) if sys.argv[1] == "--library" else main())
