Bound partial gangs by a short gang lease and evidence from workers

Cause: with a 30 s lease a member on an unreachable worker could run alone for 30 s, and the view alone can't tell whether a silent member still runs. Load digests lacked the number of waiting requests. Change: gangs of several members get an 8 s lease renewed every 2 s; a keeper stops the rest of a gang after 8 s of silence; I1 is checked on what workers report instead of on the view (the check moved from partial_gangs to the keepers, where it sees every running member). Heartbeats carry waiting requests; slots are left to peers that have less than their share; hedges wait for an empty queue.

--- a/libs/daemon/src/hornbeamfold/daemon/dispatch.py
+++ b/libs/daemon/src/hornbeamfold/daemon/dispatch.py
@@ -11,6 +11,7 @@
 from hornbeamfold.daemon.follower import LogFollower
 from hornbeamfold.membership import PeerTable, rank_names
 from hornbeamfold.model.errors import ErrorKind, Refused
+from hornbeamfold.model.status import PeerHeartbeat
 from hornbeamfold.model.topology import Worker
 from hornbeamfold.model.work import Request
 from hornbeamfold.routing import (
@@ -46,7 +47,7 @@
 MIN_RUN_MS = 10
 PUMP_MS = 100
 # Each worker is in the own subset of this many instances.
-SUBSET_OWNERS = 1
+SUBSET_OWNERS = 3
 
 count_dispatches = counter("hornbeamfold_dispatches", "Requests sent to workers by outcome")
 count_cross_region = counter("hornbeamfold_cross_region_bytes", "Bytes sent to other regions")
@@ -132,6 +133,11 @@
         """Own requests on each worker, for the heartbeat."""
         return dict(self._router.in_flight)
 
+    @property
+    def waiting(self) -> int:
+        """The number of requests that wait for a slot, for the heartbeat."""
+        return len(self._queue)
+
     @property
     def set_aside(self) -> tuple[str, ...]:
         """The workers that this instance has ejected, for the heartbeat."""
@@ -157,11 +163,11 @@
         if capacity is not None:
             self._router.reported(worker, capacity.free_slots, reply.free_slots, self._clock())
 
-    def peer_reported(self, peer: str, in_flight: dict[str, int], ejected: tuple[str, ...]) -> None:
+    def peer_reported(self, heartbeat: PeerHeartbeat) -> None:
         """Take over a peer's load digest and its ejected workers."""
         now = self._clock()
-        self._router.peer_reported(peer, in_flight, now)
-        self._outliers.hint(peer, ejected, now)
+        self._router.peer_reported(heartbeat.name, heartbeat.in_flight, heartbeat.waiting, now)
+        self._outliers.hint(heartbeat.name, heartbeat.set_aside, now)
 
     def acquire(self, request: Request, exclude: frozenset[str]) -> Slot | Refused:
         """Choose a worker, waiting in the queue while all slots are taken."""
@@ -194,6 +200,9 @@
 
     def hedge(self, request: Request, exclude: frozenset[str]) -> Slot | None:
         """Return a second worker if there is a free slot and a token for it."""
+        # A second copy must not take a slot that a waiting request needs.
+        if len(self._queue):
+            return None
         choice = self._choose(request, exclude)
         if not isinstance(choice, Choice) or not self._budget.spend(self._clock()):
             return None
@@ -272,7 +281,10 @@
 
     def _pump(self) -> None:
         """Give free slots to waiting requests in the order of the queue."""
+        candidates = self._present_candidates()
         while len(self._queue):
+            if self._router.exceeds_share(candidates, len(self._queue)):
+                return
             waiting = self._queue.take(self._wall())
             if waiting is None:
                 return
--- a/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
+++ b/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
@@ -41,6 +41,7 @@
             log_reachable=freshness.log_reachable,
             heard=peers.heard_names(now),
             in_flight=dispatcher.in_flight,
+            waiting=dispatcher.waiting,
             set_aside=tuple(sorted(unavailable())),
             settled=freshness.settled(now),
         )
@@ -53,4 +54,4 @@
 ) -> None:
     """Take in a peer's heartbeat and the load that it reports."""
     peers.heard(heartbeat, now_ms)
-    dispatcher.peer_reported(heartbeat.name, dict(heartbeat.in_flight), tuple(heartbeat.set_aside))
+    dispatcher.peer_reported(heartbeat)
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -118,6 +118,7 @@
         workers,
         ages,
         clock,
+        wall,
         settings.sync_interval_ms,
         dispatcher.worker_reported,
     )
--- a/libs/daemon/src/hornbeamfold/daemon/keeper.py
+++ b/libs/daemon/src/hornbeamfold/daemon/keeper.py
@@ -7,6 +7,7 @@
 from hornbeamfold.model.events import MemberReport
 from hornbeamfold.model.timing import (
     CHECKPOINT_BOUND_MS,
+    GANG_LEASE_MS,
     LEASE_MS,
     START_BOUND_MS,
     START_LEASE_MS,
@@ -138,9 +139,17 @@
 def _renew(here: MemberHere, lists: _Lists, permit: Permit) -> None:
     if not permit.granted:
         return
-    # The short lease is kept until the whole gang runs, so that a partial gang lapses soon.
-    lease = LEASE_MS if here.job.state == JobState.RUNNING else START_LEASE_MS
-    lists.renew.append(TaskRenewal(here.task, here.job.fence, lease))
+    lists.renew.append(TaskRenewal(here.task, here.job.fence, lease_ms(here.job)))
+
+
+def lease_ms(job: Job) -> int:
+    """Return the lease that members of a job get with each renewal.
+
+    The start lease is kept until the whole gang runs, so that a partial gang lapses soon.
+    """
+    if job.state != JobState.RUNNING:
+        return START_LEASE_MS
+    return GANG_LEASE_MS if len(job.members) > 1 else LEASE_MS
 
 
 def _stop(here: MemberHere, report: TaskReport | None, lists: _Lists, permit: Permit) -> None:
--- a/libs/daemon/src/hornbeamfold/daemon/keepers.py
+++ b/libs/daemon/src/hornbeamfold/daemon/keepers.py
@@ -16,17 +16,30 @@
 )
 from hornbeamfold.logclient import LogWriter, Signal
 from hornbeamfold.membership import Freshness, PeerTable
-from hornbeamfold.model.events import Applied, Entry, MemberReport, MembersReported
+from hornbeamfold.model.events import (
+    Applied,
+    Entry,
+    JobStopping,
+    MemberReport,
+    MembersReported,
+)
 from hornbeamfold.model.invariants import check
-from hornbeamfold.model.timing import LEASE_MS, START_TIMEOUT_MS
+from hornbeamfold.model.timing import (
+    GANG_LEASE_MS,
+    GANG_SYNC_MS,
+    LEASE_MS,
+    START_TIMEOUT_MS,
+)
 from hornbeamfold.model.work import (
     ENDED_MEMBERS,
     JobState,
     MemberState,
+    StopReason,
     task_id,
 )
 from hornbeamfold.telemetry import counter, get_logger, log_decision
-from hornbeamfold.workers import SyncReply, TaskReport, WorkerClient
+from hornbeamfold.view import partial_gangs
+from hornbeamfold.workers import SyncReply, TaskReport, TaskState, WorkerClient
 
 # A start that was refused because slots were busy, or a member that stops, is looked at this soon.
 SOON_MS = 150
@@ -89,6 +102,7 @@
         client: WorkerClient,
         ages: JobAges,
         clock: Clock,
+        wall: Clock,
         sync_interval_ms: int,
         on_load: LoadListener,
     ) -> None:
@@ -100,6 +114,7 @@
         self._client = client
         self._ages = ages
         self._clock = clock
+        self._wall = wall
         self._interval_ms = sync_interval_ms
         self._on_load = on_load
         self._kept: dict[str, Signal] = {}
@@ -209,7 +224,7 @@
         reply = self._client.sync(capacity.worker, plan.request, START_TIMEOUT_MS)
         if isinstance(reply, SyncReply):
             self._take_reply(session, plan, reply)
-            return SOON_MS if plan.soon else self._interval_ms
+            return SOON_MS if plan.soon else self._next_sync_ms(members)
         logger.warning(
             "A worker did not answer",
             extra={"worker": session.worker, "detail": reply.detail},
@@ -256,6 +271,7 @@
         members = self._members(session.worker)
         session.result = read_reply(members, reply, plan.request.stop, self._follower.view.offset)
         self._report(session, session.result.reports)
+        self._check_partial(session, members)
 
     def _report(self, session: "_Session", reports: Iterable[MemberReport]) -> None:
         now = self._clock()
@@ -275,13 +291,56 @@
         if fresh:
             self._writer.submit((MembersReported(tuple(fresh)),))
 
+    def _next_sync_ms(self, members: Iterable[MemberHere]) -> int:
+        """Return when the leases on the worker are to be renewed next."""
+        if any(len(here.job.members) > 1 for here in members):
+            return min(self._interval_ms, GANG_SYNC_MS)
+        return self._interval_ms
+
+    def _check_partial(self, session: "_Session", members: Iterable[MemberHere]) -> None:
+        """Check that no member still runs in a gang that has been partial past the bound."""
+        late = {job.key for job in partial_gangs(self._follower.view, self._wall())}
+        for here in members:
+            report = session.reported.get(here.task)
+            runs = report is not None and report.state == TaskState.RUNNING
+            check(
+                "I1 no gang partly running past the bound",
+                not (runs and here.job.key in late),
+                f"{here.task} runs in a partial gang",
+            )
+
+    def _stop_gangs(self, session: "_Session", silent_ms: int) -> None:
+        """Stop the rest of each gang whose member here must have lapsed.
+
+        The member itself counts as lost only later, when no other keeper can have renewed it.
+        """
+        stops = [
+            JobStopping(here.job.key[0], here.job.key[1], here.job.attempt, StopReason.MEMBER_LOST)
+            for here in self._members(session.worker)
+            if len(here.job.members) > 1
+            and here.job.state in (JobState.PLACED, JobState.RUNNING)
+            and here.status.state not in ENDED_MEMBERS
+            and (here.job.key, here.job.attempt) not in session.stopped
+        ]
+        if not stops:
+            return
+        session.stopped.update(((one.organisation, one.job_id), one.attempt) for one in stops)
+        log_decision(
+            "stop",
+            " ".join(f"{one.organisation}/{one.job_id}#{one.attempt}" for one in stops),
+            f"{session.worker} was silent for {silent_ms} ms",
+        )
+        self._writer.submit(tuple(stops))
+
     def _unreachable(self, session: "_Session") -> None:
-        """Report members as lost once their leases must have lapsed."""
+        """Stop gangs of a silent worker, and report members as lost once that is certain."""
         now = self._clock()
         capacity = self._follower.view.capacities.get(session.worker)
         if capacity is None or not self._freshness.may_start(now).granted:
             return
         silent_ms = now - session.answered_ms
+        if silent_ms >= GANG_LEASE_MS:
+            self._stop_gangs(session, silent_ms)
         if silent_ms < max(LEASE_MS, self._freshness.lost_after(capacity.region, now)):
             return
         reports = [
@@ -309,3 +368,4 @@
         self.reported: dict[str, TaskReport] = {}
         self.result = SyncResult()
         self.written: dict[tuple[str, MemberState], int] = {}
+        self.stopped: set[tuple[tuple[str, str], int]] = set()
--- a/libs/daemon/src/hornbeamfold/daemon/placer.py
+++ b/libs/daemon/src/hornbeamfold/daemon/placer.py
@@ -16,7 +16,7 @@
 from hornbeamfold.model.work import Job, JobState, StopReason
 from hornbeamfold.placement import Decision, PlanningState, plan
 from hornbeamfold.telemetry import counter, get_logger, histogram, log_decision
-from hornbeamfold.view import View, partial_gangs
+from hornbeamfold.view import View
 
 PLACEMENT_KEY = "placement"
 # Deadlines of starts and ageing pass without any log entry, so the placer also looks by itself.
@@ -120,7 +120,6 @@
             # A first-ranked instance that is at work moves the log; then it is not this one's turn.
             if self._follower.view.offset != offset:
                 return
-        partial_gangs(self._follower.view, self._wall())
         decisions = self._decide()
         if not decisions:
             return
--- a/libs/membership/tests/mixins.py
+++ b/libs/membership/tests/mixins.py
@@ -29,6 +29,7 @@
             "log_reachable": False,
             "heard": {"a": echo} if echo else {},
             "in_flight": {},
+            "waiting": 0,
             "set_aside": (),
             "settled": True,
         }
--- a/libs/model/src/hornbeamfold/model/status.py
+++ b/libs/model/src/hornbeamfold/model/status.py
@@ -103,6 +103,7 @@
     log_reachable: bool
     heard: Mapping[str, int]
     in_flight: Mapping[str, int]
+    waiting: int
     set_aside: tuple[str, ...]
     settled: bool
 
--- a/libs/rpc/src/hornbeamfold/rpc/peer_adapters.py
+++ b/libs/rpc/src/hornbeamfold/rpc/peer_adapters.py
@@ -31,6 +31,7 @@
         log_reachable=message.log_reachable,
         heard=MappingProxyType(dict(message.heard)),
         in_flight=MappingProxyType(dict(message.in_flight)),
+        waiting=faults.whole("waiting", message.waiting, 0),
         set_aside=tuple(message.set_aside),
         settled=message.settled,
     )
@@ -53,6 +54,7 @@
         log_reachable=heartbeat.log_reachable,
         heard=dict(heartbeat.heard),
         in_flight=dict(heartbeat.in_flight),
+        waiting=heartbeat.waiting,
         set_aside=heartbeat.set_aside,
         settled=heartbeat.settled,
     )
--- a/libs/rpc/tests/rpc_fake_peer.py
+++ b/libs/rpc/tests/rpc_fake_peer.py
@@ -19,6 +19,7 @@
     *(1, "entry-2", "i", "127.0.0.1:8", "sfax", "sahel-south", False, 4, 3, 20, True),
     heard=MappingProxyType({"entry-1": 5}),
     in_flight=MappingProxyType({"w1": 2}),
+    waiting=0,
     set_aside=(),
     settled=True,
 )
--- a/libs/rpc/tests/test_adapters.py
+++ b/libs/rpc/tests/test_adapters.py
@@ -82,6 +82,7 @@
     *(NAME, NAME, ADDRESS, NAME, NAME, st.booleans(), OFFSET, OFFSET, OFFSET, st.booleans()),
     st.dictionaries(NAME, OFFSET, max_size=3).map(MappingProxyType),
     st.dictionaries(NAME, COUNT, max_size=3).map(MappingProxyType),
+    COUNT,
     st.lists(NAME, max_size=3).map(tuple),
     st.booleans(),
 )
