--- a/libs/bench/src/hornbeamfold/bench/fleet.py
+++ b/libs/bench/src/hornbeamfold/bench/fleet.py
@@ -224,6 +224,7 @@
             "instances_url": self._list.url,
             "log_retention_ms": 3_600_000,
             "strict_invariants": True,
+            "bootstrap": True,
             **dict(self._options.settings),
         }
         daemon = Daemon(name, settings, self._folder)
--- a/libs/daemon/src/hornbeamfold/daemon/claims.py
+++ b/libs/daemon/src/hornbeamfold/daemon/claims.py
@@ -6,7 +6,7 @@
 
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.dispatch import Dispatcher, Slot
-from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.daemon.follower import Confirm, LogFollower
 from hornbeamfold.logclient import LogWriter
 from hornbeamfold.membership import Freshness, PeerTable
 from hornbeamfold.model.errors import Done, ErrorKind, Outcome, Ran, Refused
@@ -44,6 +44,7 @@
 LOOK_UP_PAUSE_MS = 250
 # The clocks of workers and of the log service differ by less than this.
 CLOCK_SKEW_MS = 5_000
+MAX_DISPATCHED = 10_000
 MAX_LOGGED_ANSWER_BYTES = 200 * 1024
 
 logger = get_logger("hornbeamfold.daemon.claims")
@@ -61,6 +62,7 @@
         incarnation: str,
         follower: LogFollower,
         writer: LogWriter,
+        confirm: Confirm,
         freshness: Freshness,
         peers: PeerTable,
         dispatcher: Dispatcher,
@@ -72,6 +74,7 @@
         self._incarnation = incarnation
         self._follower = follower
         self._writer = writer
+        self._confirm = confirm
         self._freshness = freshness
         self._peers = peers
         self._dispatcher = dispatcher
@@ -103,7 +106,7 @@
 
     def _serve(self, request: Request, digest: str, arrived: int) -> Outcome:
         # A retry may follow a claim that this view has not folded yet.
-        if request.attempt != 1 and not self._follower.wait_confirmed(
+        if request.attempt != 1 and not self._confirm(
             arrived, min(LOG_WAIT_MS, self._left(request))
         ):
             return Refused(ErrorKind.OUTCOME_UNKNOWN, "The log's end could not be confirmed.")
@@ -326,6 +329,7 @@
         if not self._follower.ready or not self._freshness.may_start(self._clock()).granted:
             return
         now = self._clock()
+        self._forget_expired()
         for claim in tuple(self._follower.view.open_claims.values()):
             if claim.key in self._serving or claim.key in self._resolving:
                 continue
@@ -334,6 +338,14 @@
             self._resolving.add(claim.key)
             eventlet.spawn(self._resolve, claim)
 
+    def _forget_expired(self) -> None:
+        """Drop what belongs to claims that the view no longer keeps."""
+        if len(self._dispatched) <= MAX_DISPATCHED:
+            return
+        claims = self._follower.view.claims
+        self._dispatched = {mark for mark in self._dispatched if mark[0] in claims}
+        self._silent_since.clear()
+
     def _abandoned(self, claim: Claim, now: int) -> bool:
         """Return whether it is this instance's turn to resolve a claim."""
         if claim.holder == self._incarnation:
--- a/libs/daemon/src/hornbeamfold/daemon/dispatch.py
+++ b/libs/daemon/src/hornbeamfold/daemon/dispatch.py
@@ -9,11 +9,13 @@
 
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.daemon.keeper import JOB_TASK_PREFIX
 from hornbeamfold.membership import PeerTable, rank_names
 from hornbeamfold.model.errors import ErrorKind, Refused
+from hornbeamfold.model.events import Applied, Entry, MembersReported
 from hornbeamfold.model.status import PeerHeartbeat
 from hornbeamfold.model.topology import Worker
-from hornbeamfold.model.work import Request
+from hornbeamfold.model.work import MemberState, Request
 from hornbeamfold.routing import (
     Candidates,
     Choice,
@@ -163,6 +165,23 @@
         if capacity is not None:
             self._router.reported(worker, capacity.free_slots, reply.free_slots, self._clock())
 
+    def folded(self, entry: Entry, applied: tuple[Applied, ...]) -> None:
+        """Learn from the members of jobs which workers fail everything they start.
+
+        All instances fold the same reports, so that all set the same workers aside.
+        """
+        del entry
+        now = self._clock()
+        for verdict in applied:
+            if not verdict.accepted or not isinstance(verdict.event, MembersReported):
+                continue
+            for report in verdict.event.reports:
+                key = (report.organisation, f"{JOB_TASK_PREFIX}{report.job_id}")
+                if report.state == MemberState.FAILED:
+                    self._outliers.failed(report.worker, key, now)
+                if report.state == MemberState.FINISHED:
+                    self._outliers.succeeded(report.worker, now, now)
+
     def peer_reported(self, heartbeat: PeerHeartbeat) -> None:
         """Take over a peer's load digest and its ejected workers."""
         now = self._clock()
--- a/libs/daemon/src/hornbeamfold/daemon/follower.py
+++ b/libs/daemon/src/hornbeamfold/daemon/follower.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from eventlet import sleep
+
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.logclient import (
     Expired,
@@ -11,6 +13,8 @@
     LogClient,
     LogFailure,
     LogWriter,
+    ReadOutcome,
+    ReadResult,
     Signal,
     Skipped,
     encode_record,
@@ -38,12 +42,16 @@
 # Entries kept for peers that cannot read the log themselves.
 RELAY_ENTRIES = 4_096
 LOAD_LIMIT = 500
+CONFIRM_LIMIT = 500
 LOAD_PAUSE_MS = 200
 
 logger = get_logger("hornbeamfold.daemon.follower")
 count_entries = counter("hornbeamfold_log_entries_folded", "Log entries folded into the view")
 count_rejected = counter("hornbeamfold_events_rejected", "Events that the fold rejected")
 
+Read = Callable[[int, int, int], ReadOutcome]
+# Confirms the log's end by a read that starts after a time, within a timeout in ms.
+Confirm = Callable[[int, int], bool]
 Listener = Callable[[Entry, tuple[Applied, ...]], None]
 
 
@@ -74,6 +82,7 @@
         self._changed = Signal()
         self._snapshot_offset = 0
         self._snapshot_ms = 0
+        self._confirming = False
 
     @property
     def view(self) -> View:
@@ -161,15 +170,35 @@
         age = self._freshness.own_confirmed_age(self._clock())
         return RelayedEntries(tuple(chosen), self._view.offset, first, age)
 
-    def wait_confirmed(self, since_ms: int, timeout_ms: int) -> bool:
-        """Wait until the log's end was confirmed by a read that started after `since_ms`."""
+    def confirm(self, read: Read, since_ms: int, timeout_ms: int) -> bool:
+        """Confirm the log's end by a read that starts after `since_ms`; return whether it worked.
+
+        The reading loop may be in a long poll that started earlier, so this reads by itself;
+        callers that come meanwhile share the next read.
+        """
         deadline = self._clock() + timeout_ms
         while self._freshness.own_confirmed_age(self._clock()) > self._clock() - since_ms:
-            left = deadline - self._clock()
-            if left <= 0 or not self._changed.wait(left):
+            if self._clock() >= deadline:
                 return False
+            if self._confirming:
+                self._changed.wait(deadline - self._clock())
+                continue
+            self._read_once(read)
         return True
 
+    def _read_once(self, read: Read) -> None:
+        self._confirming = True
+        try:
+            outcome = read(self._view.offset, CONFIRM_LIMIT, 0)
+        finally:
+            self._confirming = False
+        if isinstance(outcome, ReadResult):
+            self.on_entries(outcome.entries, outcome.end, outcome.started_ms)
+            return
+        # Those who wait for this read must not wait until their own deadlines.
+        self._changed.notify()
+        sleep(LOAD_PAUSE_MS / 1_000)
+
     def _fold(self, entry: Entry) -> None:
         if entry.offset < self._view.offset:
             return
@@ -212,13 +241,22 @@
         self._changed.notify()
 
 
-def load(client: LogClient, guarantees_fit: GuaranteesFit, clock: Clock) -> Loaded | LogFailure:
-    """Build a view from the newest complete snapshot in the log and the entries behind it."""
+def load(
+    client: LogClient, guarantees_fit: GuaranteesFit, clock: Clock, bootstrap: bool
+) -> Loaded | LogFailure:
+    """Build a view from the newest complete snapshot in the log and the entries behind it.
+
+    An empty log is taken for a new system only if `bootstrap` says so: it may also be one that
+    lost its records, and then a configuration in force elsewhere must not be started anew.
+    """
     started = clock()
     head = client.read(0, 1, 0)
     if isinstance(head, LogFailure):
         return head
     first, end = head.first, head.end
+    if end == 0 and not bootstrap:
+        detail = "the log is empty; set bootstrap: true for the first start of a system"
+        return LogFailure(FailureKind.PROTOCOL, detail, may_have_happened=False)
     if first == 0:
         return Loaded(View(guarantees_fit), end, started)
     collector = SnapshotCollector(guarantees_fit)
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -32,6 +32,8 @@
 from hornbeamfold.workers import WorkerClient
 
 LOAD_RETRY_MS = 500
+# With longer polls an idle instance would use up most of the freshness bound between two reads.
+READ_WAIT_MS = 500
 STOP_POLL_MS = 50
 # After this instance left the ranking, its keepers renew on until the others have taken over.
 HAND_OVER_MS = 2 * HEARTBEAT_MS + 500
@@ -109,6 +111,14 @@
         Random(incarnation),
     )
     ages = JobAges(clock)
+
+    def listed_leaving() -> frozenset[str]:
+        return frozenset(
+            name
+            for name, instance in peers.listed.items()
+            if instance.role == "worker" and instance.state == "leaving"
+        )
+
     keepers = Keepers(
         settings.name,
         follower,
@@ -121,15 +131,14 @@
         wall,
         settings.sync_interval_ms,
         dispatcher.worker_reported,
+        listed_leaving,
     )
 
     def leaving_workers() -> frozenset[str]:
-        listed = {
-            name
-            for name, instance in peers.listed.items()
-            if instance.role == "worker" and instance.state == "leaving"
-        }
-        return keepers.leaving_workers | listed
+        return keepers.leaving_workers | listed_leaving()
+
+    def confirm(since_ms: int, timeout_ms: int) -> bool:
+        return follower.confirm(client.read, since_ms, timeout_ms)
 
     def unavailable() -> frozenset[str]:
         """Return workers that get no new tasks: they leave, or an instance has ejected them."""
@@ -148,6 +157,7 @@
         incarnation,
         follower,
         writer,
+        confirm,
         freshness,
         peers,
         dispatcher,
@@ -178,6 +188,7 @@
     requests = RequestService(
         incarnation,
         follower,
+        confirm,
         freshness,
         dispatcher,
         claims,
@@ -188,12 +199,15 @@
     )
     jobs = JobService(follower, writer, wall, lambda: lifecycle.draining)
     operators = OperatorService(settings, follower, writer, peers, freshness, clock)
-    placer = Placer(follower, writer, peers, freshness, ages, clock, wall, unavailable)
+    placer = Placer(
+        follower, writer, peers, freshness, ages, clock, wall, unavailable, leaving_workers
+    )
     snapshotter = Snapshotter(
         follower, writer, peers, freshness, clock, wall, settings.log_retention_ms
     )
     follower.add_listener(writer.folded)
     follower.add_listener(keepers.folded)
+    follower.add_listener(dispatcher.folded)
     _add_gauges(follower, freshness, keepers, peers, clock)
     return Parts(
         follower,
@@ -232,10 +246,10 @@
     gauge("hornbeamfold_queued_jobs", "Jobs in the queue", lambda: len(follower.view.queued))
 
 
-def follow_log(parts: Parts, clock: Clock) -> None:
+def follow_log(parts: Parts, clock: Clock, bootstrap: bool) -> None:
     """Load the view and follow the log for ever; load it again whenever entries were missed."""
     follower = parts.follower
-    _load_until_done(parts, clock)
+    _load_until_done(parts, clock, bootstrap)
 
     def on_failure(failure: LogFailure | Expired) -> None:
         if isinstance(failure, LogFailure):
@@ -245,20 +259,22 @@
             "Entries have expired before they were read; loading a snapshot",
             extra={"first": failure.first, "offset": follower.view.offset},
         )
-        _load_until_done(parts, clock)
+        _load_until_done(parts, clock, False)
 
     follow(
         parts.client.read,
         follower.next_offset,
         follower.on_entries,
         on_failure,
+        # A resend after a lost reply waits for a read, which must then not wait for records.
+        wait_ms=lambda: 0 if parts.writer.awaiting_confirmation else READ_WAIT_MS,
         on_skipped=follower.on_skipped,
     )
 
 
-def _load_until_done(parts: Parts, clock: Clock) -> None:
+def _load_until_done(parts: Parts, clock: Clock, bootstrap: bool) -> None:
     while True:
-        loaded = load(parts.client, parts.follower.guarantees_fit, clock)
+        loaded = load(parts.client, parts.follower.guarantees_fit, clock, bootstrap)
         if not isinstance(loaded, LogFailure):
             parts.follower.adopt(loaded)
             return
@@ -271,7 +287,7 @@
     handlers = build_services(parts.frontend, parts.peer_frontend)
     server = serve(settings.rpc_address, handlers)
     eventlet.spawn(parts.writer.run)
-    eventlet.spawn(follow_log, parts, monotonic_ms)
+    eventlet.spawn(follow_log, parts, monotonic_ms, settings.bootstrap)
     parts.peering.start()
     eventlet.spawn(parts.keepers.run)
     eventlet.spawn(parts.placer.run)
--- a/libs/daemon/src/hornbeamfold/daemon/keepers.py
+++ b/libs/daemon/src/hornbeamfold/daemon/keepers.py
@@ -15,7 +15,7 @@
     read_reply,
 )
 from hornbeamfold.logclient import LogWriter, Signal
-from hornbeamfold.membership import Freshness, PeerTable
+from hornbeamfold.membership import Freshness, PeerTable, Permit
 from hornbeamfold.model.events import (
     Applied,
     Entry,
@@ -105,6 +105,7 @@
         wall: Clock,
         sync_interval_ms: int,
         on_load: LoadListener,
+        leaving: Callable[[], frozenset[str]],
     ) -> None:
         self._name = name
         self._follower = follower
@@ -117,6 +118,7 @@
         self._wall = wall
         self._interval_ms = sync_interval_ms
         self._on_load = on_load
+        self._listed_leaving = leaving
         self._kept: dict[str, Signal] = {}
         self._basis: tuple[object, ...] = ()
         self._leaving: set[str] = set()
@@ -160,6 +162,9 @@
             signal.notify()
         self._kept.clear()
 
+    def _leaving_workers(self) -> frozenset[str]:
+        return self.leaving_workers | self._listed_leaving()
+
     def _reconcile(self) -> None:
         now = self._clock()
         view = self._follower.view
@@ -199,18 +204,10 @@
         now = self._clock()
         members = self._members(session.worker)
         may_start = self._freshness.may_start(now)
-        if not capacity.eligible and any(
-            here.status.state == MemberState.PENDING and here.job.state != JobState.STOPPING
-            for here in members
-        ):
-            log_decision(
-                "start",
-                "refuse",
-                "the availability zone is out or the worker drains",
-                worker=session.worker,
-                offset=view.offset,
-            )
-            may_start = type(may_start)(False, "worker is not eligible")
+        if not capacity.eligible:
+            may_start = Permit(False, "the availability zone is out or the worker drains")
+        elif session.worker in self._leaving_workers():
+            may_start = Permit(False, "the worker leaves")
         plan = plan_sync(
             self._name,
             members,
--- a/libs/daemon/src/hornbeamfold/daemon/placer.py
+++ b/libs/daemon/src/hornbeamfold/daemon/placer.py
@@ -27,9 +27,7 @@
 plan_time = histogram("hornbeamfold_plan_time", "ms", "Time of one planning pass")
 
 
-def due_stops(
-    view: View, ages: JobAges, unavailable: frozenset[str], drained: frozenset[str]
-) -> tuple[Decision, ...]:
+def due_stops(view: View, ages: JobAges, drained: frozenset[str]) -> tuple[Decision, ...]:
     """Return stops for jobs in zones that are out, on drained workers, or started too slowly."""
     decisions: list[Decision] = []
     for job in view.active.values():
@@ -51,7 +49,8 @@
         zone = view.zones.get(capacity.worker.availability_zone)
         if zone is not None and not zone.in_service:
             return StopReason.ZONE_OUT
-        if status.member.worker in drained:
+        # A drain lets jobs finish that would lose their work; the others continue elsewhere.
+        if status.member.worker in drained and job.spec.checkpointable:
             return StopReason.TARGET_DRAIN
     if job.state == JobState.PLACED and ages.placed_age(job.key, job.attempt) > START_BOUND_MS:
         return StopReason.START_TIMEOUT
@@ -81,6 +80,7 @@
         clock: Clock,
         wall: Clock,
         unavailable: Callable[[], frozenset[str]],
+        leaving: Callable[[], frozenset[str]],
     ) -> None:
         self._follower = follower
         self._writer = writer
@@ -90,6 +90,7 @@
         self._clock = clock
         self._wall = wall
         self._unavailable = unavailable
+        self._leaving = leaving
         self._planned_offset = -1
         self._planned_unavailable: frozenset[str] = frozenset()
         self._planned_ms = 0
@@ -128,7 +129,7 @@
     def _decide(self) -> tuple[Decision, ...]:
         view = self._follower.view
         unavailable = self._unavailable()
-        stops = due_stops(view, self._ages, unavailable, frozenset(view.draining))
+        stops = due_stops(view, self._ages, view.draining | self._leaving())
         if stops:
             return stops
         if not view.queued:
--- a/libs/daemon/src/hornbeamfold/daemon/requests.py
+++ b/libs/daemon/src/hornbeamfold/daemon/requests.py
@@ -11,7 +11,7 @@
 from hornbeamfold.daemon.claims import ClaimService
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.dispatch import Dispatcher, Slot
-from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.daemon.follower import Confirm, LogFollower
 from hornbeamfold.membership import Freshness
 from hornbeamfold.model.errors import Done, ErrorKind, Outcome, Ran, Refused
 from hornbeamfold.model.invariants import check
@@ -31,7 +31,7 @@
 
 # Requests that fail on this many workers are themselves to blame.
 MAX_FAILED_WORKERS = 2
-PEER_POLL_MS = 200
+PEER_POLL_MS = 500
 
 logger = get_logger("hornbeamfold.daemon.requests")
 count_requests = counter("hornbeamfold_requests", "Requests by outcome")
@@ -66,6 +66,7 @@
         self,
         incarnation: str,
         follower: LogFollower,
+        confirm: Confirm,
         freshness: Freshness,
         dispatcher: Dispatcher,
         claims: ClaimService,
@@ -76,6 +77,7 @@
     ) -> None:
         self._incarnation = incarnation
         self._follower = follower
+        self._confirm = confirm
         self._freshness = freshness
         self._dispatcher = dispatcher
         self._claims = claims
@@ -319,7 +321,7 @@
     def _never_claimed(self, request: Request, arrived: int) -> bool:
         if self._wall() > request.deadline_ms + CLAIM_KEEP_MS:
             return False
-        if not self._follower.wait_confirmed(arrived, LOG_WAIT_MS):
+        if not self._confirm(arrived, LOG_WAIT_MS):
             return False
         claim = self._follower.view.claims.get(request.key)
         return claim is None or claim.state == ClaimState.RELEASED
