--- a/libs/logclient/src/hornbeamfold/logclient/__init__.py
+++ b/libs/logclient/src/hornbeamfold/logclient/__init__.py
@@ -1,6 +1,6 @@
 """Client of the log service and the codec of its records."""
 
-from hornbeamfold.logclient.client import LogClient
+from hornbeamfold.logclient.client import EMPTY_RECORD, LogClient
 from hornbeamfold.logclient.codec import (
     MAX_RECORD_BYTES,
     UndecodableRecordError,
@@ -24,6 +24,7 @@
 from hornbeamfold.logclient.writer import LogWriter
 
 __all__ = [
+    "EMPTY_RECORD",
     "MAX_RECORD_BYTES",
     "AppendOutcome",
     "Appended",
--- a/libs/logclient/tests/patched_writer.py
+++ b/libs/logclient/tests/patched_writer.py
@@ -5,11 +5,11 @@
 
 from sys import argv
 
-import eventlet
-import eventlet.hubs
+from eventlet import GreenPool, monkey_patch, spawn
+from eventlet.hubs import use_hub
 
-eventlet.hubs.use_hub("eventlet.hubs.asyncio")
-eventlet.monkey_patch()
+use_hub("eventlet.hubs.asyncio")
+monkey_patch()
 
 from json import dumps  # noqa: E402
 from time import monotonic  # noqa: E402
@@ -55,8 +55,8 @@
     writer = LogWriter("w", client.append, clock, lambda one: failures.append(one.kind))
     fold = Fold(writer)
     read_failures: list[object] = []
-    eventlet.spawn(writer.run)
-    eventlet.spawn(
+    spawn(writer.run)
+    spawn(
         follow,
         client.read,
         lambda: fold.position,
@@ -68,7 +68,7 @@
     def write(name: int) -> bool:
         return writer.submit((JobCancelled("o", str(name)),)).wait(BOUND_MS) is not None
 
-    pool = eventlet.GreenPool(20)
+    pool = GreenPool(20)
     done = sum(pool.imap(write, range(int(argv[2]))))
     drained = writer.drain(BOUND_MS)
     print(
--- a/libs/logclient/tests/test_follow.py
+++ b/libs/logclient/tests/test_follow.py
@@ -6,8 +6,8 @@
 from subprocess import PIPE, Popen
 from sys import executable
 
-import eventlet
-import eventlet.hubs
+from eventlet import Timeout, sleep
+from eventlet.hubs import use_hub
 
 from hornbeamfold.logclient.follow import follow
 from hornbeamfold.logclient.outcomes import (
@@ -19,7 +19,7 @@
 )
 from hornbeamfold.standins.launch import StandIn
 
-eventlet.hubs.use_hub("eventlet.hubs.asyncio")
+use_hub("eventlet.hubs.asyncio")
 
 EVENTS = 200
 
@@ -34,7 +34,7 @@
             calls.append(start)
             return outcome
 
-        with eventlet.Timeout(0.5, False):
+        with Timeout(0.5, False):
             follow(read, lambda: 3, lambda *_: None, failures.append, lambda: 0)
         return len(calls), failures
 
@@ -62,9 +62,9 @@
             return sum(pair["messages"] for pair in log.control("traffic")["pairs"])
 
         enough = messages() + count
-        with eventlet.Timeout(20):
+        with Timeout(20):
             while messages() < enough:
-                eventlet.sleep(0.01)
+                sleep(0.01)
 
     def test_every_event_takes_effect_once_while_the_log_misbehaves(self) -> None:
         """Guards against lost and doubled events with lost replies, late copies and outages."""
@@ -77,9 +77,9 @@
         )
         with writer:
             self.addCleanup(writer.kill)
-            with eventlet.Timeout(20):
+            with Timeout(20):
                 while log.control("log")["end"] < 5:
-                    eventlet.sleep(0.01)
+                    sleep(0.01)
             log.faults(down="refuse")
             log.faults(down="unavailable")
             self.wait_for_messages(log, 4)
--- a/libs/logclient/tests/test_writer.py
+++ b/libs/logclient/tests/test_writer.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 from time import monotonic
 
-import eventlet
-import eventlet.hubs
+from eventlet import Timeout, sleep, spawn
+from eventlet.hubs import use_hub
 
 from hornbeamfold.logclient.codec import MAX_EVENTS_BYTES, decode_record
 from hornbeamfold.logclient.outcomes import Appended, AppendOutcome, FailureKind, LogFailure
 from hornbeamfold.logclient.writer import LogWriter
 from hornbeamfold.model.events import Applied, Entry, Event, JobCancelled
 
-eventlet.hubs.use_hub("eventlet.hubs.asyncio")
+use_hub("eventlet.hubs.asyncio")
 
 WAIT_MS = 5_000
 LOST = LogFailure(FailureKind.BROKEN, "lost", may_have_happened=True)
@@ -39,13 +39,13 @@
         self.accepted: list[Event] = []
         self.last_seq = 0
         self.writer = LogWriter("w", self.append, clock)
-        thread = eventlet.spawn(self.writer.run)
+        thread = spawn(self.writer.run)
         self.addCleanup(thread.kill)
 
     def append(self, data: str) -> AppendOutcome:
         """Store the record unless the next planned outcome says otherwise."""
         self.calls += 1
-        eventlet.sleep(0)
+        sleep(0)
         stores, failure = self.outcomes.pop(0) if self.outcomes else (True, None)
         if stores:
             self.stored.append(data)
@@ -68,10 +68,10 @@
 
     def fold_until(self, condition: Callable[[], bool]) -> None:
         """Fold again and again until the condition holds."""
-        with eventlet.Timeout(WAIT_MS / 1000):
+        with Timeout(WAIT_MS / 1000):
             while not condition():
                 self.fold()
-                eventlet.sleep(0.002)
+                sleep(0.002)
 
     def test_each_ticket_gets_its_own_verdicts(self) -> None:
         """Guards against verdicts mixed up in a batch, and against one record for each ticket."""
@@ -100,9 +100,9 @@
         earlier_ms = clock()
         self.outcomes.append((False, LOST))
         ticket = self.writer.submit((event("a"),))
-        with eventlet.Timeout(WAIT_MS / 1000):
+        with Timeout(WAIT_MS / 1000):
             while not self.writer.awaiting_confirmation:
-                eventlet.sleep(0.001)
+                sleep(0.001)
         self.writer.confirmed(earlier_ms)
         self.assertIsNone(ticket.wait(50))
         self.assertEqual(self.calls, 1)
@@ -124,15 +124,15 @@
         self.outcomes = [(False, REFUSED)] * 1_000
         ticket = self.writer.submit((event("a"),))
         # While an append is in flight its outcome is open, and the withdrawal is refused.
-        with eventlet.Timeout(WAIT_MS / 1000):
+        with Timeout(WAIT_MS / 1000):
             while self.calls < 2 or not ticket.withdraw():
-                eventlet.sleep(0.001)
+                sleep(0.001)
         self.outcomes = [(False, LOST)]
         self.assertTrue(self.writer.drain(WAIT_MS))
         other = self.writer.submit((event("b"),))
-        with eventlet.Timeout(WAIT_MS / 1000):
+        with Timeout(WAIT_MS / 1000):
             while not self.writer.awaiting_confirmation:
-                eventlet.sleep(0.001)
+                sleep(0.001)
         self.assertFalse(other.withdraw(), "a lost reply may have been an effect")
         self.fold_until(lambda: other.done)
         self.assertEqual(self.accepted, [event("b")])
--- a/libs/standins/tests/test_instance_list.py
+++ b/libs/standins/tests/test_instance_list.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import asdict, replace
 
-from calls import call
+from standin_calls import call
 
 from hornbeamfold.standins.instance_list import InstanceList, Listed
 from hornbeamfold.standins.launch import StandIn
--- a/libs/standins/tests/test_log.py
+++ b/libs/standins/tests/test_log.py
@@ -7,7 +7,7 @@
 from typing import Any
 from urllib.error import URLError
 
-from calls import call, wait_until
+from standin_calls import call, wait_until
 
 from hornbeamfold.standins.launch import StandIn
 from hornbeamfold.standins.log_store import MAX_RECORD_BYTES
--- a/libs/standins/tests/test_workers.py
+++ b/libs/standins/tests/test_workers.py
@@ -7,8 +7,8 @@
 from typing import Any
 from urllib.error import URLError
 
-from calls import call, wait_until
 from msgspec.json import encode
+from standin_calls import call, wait_until
 
 from hornbeamfold.standins.launch import StandIn
 from hornbeamfold.standins.worker_data import answer_of
