Check that cancelled calls leave no traceback

Cause: an exception that nobody takes shows only on stderr; and a decision whose inputs are keyed by job lost its log line, because JSON has no tuples as keys. Change: the tests of the services read the instance's stderr; keys of decision inputs become text.

--- a/libs/rpc/tests/rpc_processes.py
+++ b/libs/rpc/tests/rpc_processes.py
@@ -30,7 +30,7 @@
     return process.stdout.readline().strip()
 
 
-def press_enter(process: "subprocess.Popen[str]") -> None:
+def send_line(process: "subprocess.Popen[str]") -> None:
     """Let a process that waits for a line go on."""
     assert process.stdin is not None
     process.stdin.write("\n")
--- a/libs/rpc/tests/test_peers.py
+++ b/libs/rpc/tests/test_peers.py
@@ -3,7 +3,7 @@
 import socket
 import unittest
 
-from rpc_processes import press_enter, read_line, start
+from rpc_processes import read_line, send_line, start
 
 
 class PeerConnectionTest(unittest.TestCase):
@@ -28,10 +28,10 @@
         self.assertEqual(lines[9], "again None")
         instance.kill()
         instance.wait()
-        press_enter(peer)
+        send_line(peer)
         self.assertIn("killed PeerFailure(detail=", read_line(peer))
         self.assertEqual(read_line(start(self, "rpc_fake_instance.py", "500", address)), address)
-        press_enter(peer)
+        send_line(peer)
         self.assertEqual(read_line(peer), "restarted None")
         self.assertEqual(read_line(peer), "closed")
         # The hub prints exceptions that nobody took.
--- a/libs/rpc/tests/test_services.py
+++ b/libs/rpc/tests/test_services.py
@@ -71,9 +71,18 @@
 
     def setUp(self) -> None:
         self.instance = start(self, "rpc_fake_instance.py", str(self.stop_ms))
+        self.addCleanup(self.check_errors)
         self.channel = grpc.insecure_channel(self.line())
         self.addCleanup(self.channel.close)
 
+    def check_errors(self) -> None:
+        """Check that the instance printed only the tracebacks of the fake's own exceptions."""
+        self.instance.kill()
+        _, errors = self.instance.communicate()
+        tracebacks = errors.count("Traceback")
+        self.assertEqual(tracebacks, errors.count("RuntimeError: broken"), errors)
+        self.assertNotIn("never retrieved", errors)
+
     def line(self) -> str:
         return read_line(self.instance)
 
--- a/libs/telemetry/src/hornbeamfold/telemetry/logs.py
+++ b/libs/telemetry/src/hornbeamfold/telemetry/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from collections.abc import Mapping
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -35,5 +36,21 @@
 def log_decision(kind: str, choice: object, reason: str, **inputs: object) -> None:
     """Write one line that says what was decided, from which inputs and why."""
     # The inputs are nested because logging refuses extra fields named like its own attributes.
-    fields = {"decision": kind, "choice": choice, "reason": reason, "inputs": inputs}
+    fields = {
+        "decision": kind,
+        "choice": _with_text_keys(choice),
+        "reason": reason,
+        "inputs": _with_text_keys(inputs),
+    }
     logging.getLogger(DECISIONS).info("decision", extra=fields)
+
+
+def _with_text_keys(value: object) -> object:
+    """Return a mapping with keys that JSON can hold; the keys of jobs and requests are tuples."""
+    if not isinstance(value, Mapping):
+        return value
+    fields: dict[str, object] = {}
+    for key, item in value.items():
+        text = "/".join(str(part) for part in key) if isinstance(key, tuple) else str(key)
+        fields[text] = _with_text_keys(item)
+    return fields
--- a/libs/telemetry/tests/test_logs.py
+++ b/libs/telemetry/tests/test_logs.py
@@ -6,7 +6,9 @@
 import logging
 import unittest
 from datetime import datetime, timedelta
+from typing import Any
 
+from hornbeamfold.model.topology import Shape
 from hornbeamfold.telemetry.logs import configure_logging, get_logger, log_decision
 
 
@@ -42,13 +44,16 @@
         )
 
     def test_a_decision_is_one_line_for_any_input(self) -> None:
-        """Guards against inputs that logging refuses (`name`) or JSON cannot hold (a set)."""
-        log_decision("route", "worker-3", "shortest delay", name="x", args=frozenset({1}), n=2)
+        """Guards against inputs that logging refuses (`name`) or JSON cannot hold (sets, keys)."""
+        inputs = {"name": "x", "args": frozenset({1}), "n": {("o", "j"): Shape(2)}}
+        log_decision("route", "worker-3", "shortest delay", **inputs)
         (line,) = self.lines()
         self.assertEqual(line["event"], "decision")
         self.assertEqual((line["decision"], line["choice"]), ("route", "worker-3"))
         self.assertEqual(line["reason"], "shortest delay")
-        self.assertEqual(set(line["inputs"]), {"name", "args", "n"})  # type: ignore[call-overload]
+        written: Any = line["inputs"]
+        self.assertEqual(set(written), {"name", "args", "n"})
+        self.assertEqual(written["n"]["o/j"]["accelerators"], 2)
 
     def test_an_exception_stays_on_its_line(self) -> None:
         """Guards against tracebacks that break the format of one object a line."""
