Add the number of waiting requests to the heartbeat

Routing yields slots to peers that are short of their fair share, and needs to know whether a peer has requests that wait. The field has a default of 0.

--- a/libs/model/src/hornbeamfold/model/status.py
+++ b/libs/model/src/hornbeamfold/model/status.py
@@ -84,7 +84,7 @@
 
 @dataclass(frozen=True)
 class PeerHeartbeat:
-    """What an instance tells its peers about itself."""
+    """What an instance tells its peers about itself; `waiting` requests could start here."""
 
     name: str
     incarnation: str
@@ -100,6 +100,7 @@
     in_flight: Mapping[str, int]
     set_aside: tuple[str, ...]
     settled: bool
+    waiting: int = 0
 
 
 @dataclass(frozen=True)
