Stop yielding to peers that do not take the slots, and bound two tables

A peer that has waiting requests but may not start them would have kept slots of others empty. It is now passed over after 2 s without a new start.

--- a/libs/bench/src/hornbeamfold/bench/request_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/request_trial.py
@@ -349,7 +349,8 @@
     now_ms = world.now_ms
     for late in site.queue.expired(now_ms):
         refuse(world, late.payload)
-    if len(site.queue) and site.router.exceeds_share(site.candidates, len(site.queue)):
+    waiting_count = len(site.queue)
+    if waiting_count and site.router.exceeds_share(site.candidates, waiting_count, now_ms):
         return None
     while (waiting := site.queue.take(now_ms)) is not None:
         job = waiting.payload
--- a/libs/routing/src/hornbeamfold/routing/outliers.py
+++ b/libs/routing/src/hornbeamfold/routing/outliers.py
@@ -141,6 +141,9 @@
     def hint(self, peer: str, workers: Iterable[str], now_ms: int) -> None:
         """Take over a peer's list of set-aside workers."""
         self._hints[peer] = (now_ms, frozenset(workers))
+        for name, (at_ms, _) in list(self._hints.items()):
+            if now_ms - at_ms > HINT_KEEP_MS:
+                del self._hints[name]
 
     def hinted(self, worker: str, now_ms: int) -> bool:
         """Return whether a peer that was heard lately set the worker aside."""
--- a/libs/routing/src/hornbeamfold/routing/router.py
+++ b/libs/routing/src/hornbeamfold/routing/router.py
@@ -10,7 +10,7 @@
 from hornbeamfold.model.work import Request
 from hornbeamfold.routing.candidates import Candidate, Candidates, Choice, Links, Load
 from hornbeamfold.routing.instance_share import fair_share
-from hornbeamfold.routing.latency import LatencyTable
+from hornbeamfold.routing.latency import MAX_KINDS, LatencyTable
 
 CHOICES = 2
 # Bounds the cost of one choice; smaller sets of candidates are searched completely.
@@ -26,18 +26,21 @@
 ANSWER_BYTES_WEIGHT = 0.1
 # A peer that is short of less than this is left to catch up by itself.
 SHARE_SLACK = 1.0
+# A peer that does not take the slots left to it within this time cannot use them.
+YIELD_LIMIT_MS = 2_000
 # Primes as strides, so that a walk from a random start visits each candidate once.
 STRIDES = (1, 7, 13, 29, 43, 61, 89, 113)
 
 
 @dataclass(frozen=True)
 class _Digest:
-    """The load digest of a peer and when it came."""
+    """The load digest of a peer; `moved_ms` is when it last started more or had none waiting."""
 
     at_ms: int
     in_flight: Mapping[str, int]
     in_flight_total: int
     waiting: int
+    moved_ms: int
 
 
 class Router:
@@ -99,7 +102,9 @@
         typical = max(1.0, self._latencies.typical_ms(kind, now_ms))
         slowness = self._slowness.get(worker, 1.0)
         self._slowness[worker] = slowness + SLOWNESS_WEIGHT * (elapsed_ms / typical - slowness)
-        size = self._answer_bytes.get(kind, float(answer_bytes))
+        size = self._answer_bytes.pop(kind, float(answer_bytes))
+        if len(self._answer_bytes) >= MAX_KINDS:
+            del self._answer_bytes[next(iter(self._answer_bytes))]
         self._answer_bytes[kind] = size + ANSWER_BYTES_WEIGHT * (answer_bytes - size)
         self._latencies.add(kind, elapsed_ms, now_ms)
 
@@ -116,26 +121,32 @@
         self, peer: str, in_flight: Mapping[str, int], waiting: int, now_ms: int
     ) -> None:
         """Take over a peer's load digest, and drop those of peers that are silent."""
+        before = self._peers.get(peer)
+        total = sum(in_flight.values())
+        moved = before is None or not waiting or total > before.in_flight_total
+        moved_ms = now_ms if before is None or moved else before.moved_ms
         self._replace(peer, in_flight)
-        self._peers[peer] = _Digest(now_ms, in_flight, sum(in_flight.values()), waiting)
+        self._peers[peer] = _Digest(now_ms, in_flight, total, waiting, moved_ms)
         for name, digest in list(self._peers.items()):
             if now_ms - digest.at_ms > PEER_KEEP_MS:
                 self._replace(name, {})
                 del self._peers[name]
 
-    def exceeds_share(self, candidates: Candidates, waiting: int) -> bool:
+    def exceeds_share(self, candidates: Candidates, waiting: int, now_ms: int) -> bool:
         """Return whether this instance should leave a slot to a peer that has too few.
 
         Without this, an instance that reuses its slots at once keeps them through an overload.
         """
-        peers = self._peers.values()
-        if not any(digest.waiting for digest in peers):
+        short = [
+            digest.in_flight_total
+            for digest in self._peers.values()
+            if digest.waiting and now_ms - digest.moved_ms <= YIELD_LIMIT_MS
+        ]
+        if not short or self._own_total <= min(short):
             return False
-        demands = [digest.in_flight_total + digest.waiting for digest in peers]
+        demands = [digest.in_flight_total + digest.waiting for digest in self._peers.values()]
         share = fair_share(candidates.slots, [*demands, self._own_total + waiting])
-        if self._own_total < share:
-            return False
-        return any(d.waiting and d.in_flight_total < share - SHARE_SLACK for d in peers)
+        return self._own_total >= share and min(short) < share - SHARE_SLACK
 
     def load(self, worker: str, now_ms: int) -> Load:
         """Return what is known of a worker's load."""
@@ -153,7 +164,8 @@
         exclude: AbstractSet[str] = frozenset(),
     ) -> Choice | Refused:
         """Choose a worker that is expected to have a free slot, or say that there is none."""
-        if not any(c.worker not in exclude for c in candidates.every[:PROBE_LIMIT]):
+        every = candidates.every
+        if len(every) <= len(exclude) and all(c.worker in exclude for c in every):
             return Refused(ErrorKind.NO_TARGET, "no worker in service may take the request")
         service_ms = self._latencies.typical_ms(request.kind, now_ms)
         size_kb = (len(request.body) + self._answer_bytes.get(request.kind, 0.0)) / 1024
--- a/libs/routing/tests/test_router.py
+++ b/libs/routing/tests/test_router.py
@@ -2,6 +2,7 @@
 
 import unittest
 from random import Random
+from time import perf_counter
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -19,7 +20,7 @@
     make_candidates,
 )
 from hornbeamfold.routing.instance_share import fair_share
-from hornbeamfold.routing.router import BUSY_HOLD_MS, PEER_KEEP_MS, REPORT_KEEP_MS
+from hornbeamfold.routing.router import BUSY_HOLD_MS, PEER_KEEP_MS, REPORT_KEEP_MS, YIELD_LIMIT_MS
 
 SLOTS, CONNECTIONS = 8, 7
 REQUEST = Request("o", "1", "k", "x" * 4096, True, True, 10**9)
@@ -131,6 +132,22 @@
         self.assertTrue(found.crosses_regions)
 
 
+class SpeedTest(unittest.TestCase):
+    def test_a_choice_is_quick(self) -> None:
+        """Guards against a choice that looks at every worker; the best of 20 rounds counts."""
+        for count, own, limit_us in ((24, 6, 100.0), (1_900, 152, 1_000.0)):
+            for peers in (0, SLOTS):
+                target, group = router(), candidates(count, own)
+                target.peer_reported("p", {f"w{n}": peers for n in range(count)}, 0, 0)
+                rounds: list[float] = []
+                for _ in range(20):
+                    started = perf_counter()
+                    for _ in range(20):
+                        target.choose(REQUEST, group, 0)
+                    rounds.append((perf_counter() - started) / 20 * 1e6)
+                self.assertLess(min(rounds), limit_us)
+
+
 class ShareTest(unittest.TestCase):
     @settings(derandomize=True, max_examples=100)
     @given(st.integers(1, 200), st.lists(st.integers(0, 100), min_size=1, max_size=25))
@@ -154,7 +171,18 @@
                 for number in range(mine):
                     target.started(f"w{number % 4}")
                 target.peer_reported("p", {"w0": peers}, waiting, 0)
-                self.assertEqual(target.exceeds_share(group, 20), expected)
+                self.assertEqual(target.exceeds_share(group, 20, 0), expected)
+
+    def test_yielding_ends_if_the_peer_cannot_use_the_slots(self) -> None:
+        """Guards against slots left for ever to a peer that may not start anything."""
+        target, group = router(), candidates(4, own=2, slots=5)
+        for number in range(15):
+            target.started(f"w{number % 4}")
+        for now_ms in range(0, YIELD_LIMIT_MS + 1_000, 500):
+            target.peer_reported("p", {"w0": 5}, 9, now_ms)
+            self.assertEqual(target.exceeds_share(group, 20, now_ms), now_ms <= YIELD_LIMIT_MS)
+        target.peer_reported("p", {"w0": 6}, 9, now_ms + 500)
+        self.assertTrue(target.exceeds_share(group, 20, now_ms + 500))
 
 
 class LoadTest(unittest.TestCase):
