Order urgent work around one aged head, and move jobs for waiting gangs

Cause: after an overload every patient job was aged and went before urgent work; entitled patient jobs took the accelerators that an urgent gang was waiting for, and its window moved with each estimate. Change: only the oldest aged patient job goes first, at most one each 30 s while urgent jobs wait; urgent jobs older than 60 s go by age; entitled patient jobs are tried in their class, outside the reservations first. A head of twice the ageing bound gets a window that does not depend on estimates.

--- a/libs/placement/src/hornbeamfold/placement/backfill.py
+++ b/libs/placement/src/hornbeamfold/placement/backfill.py
@@ -28,6 +28,28 @@
     if shape.accelerators == 0:
         return _earliest_worker(shape, index, tenants, now_ms)
     times = {id(line): _cell_times(line, shape, tenants, now_ms) for line in index.lines}
+    return _earliest_window(shape, index, times)
+
+
+def reserve_oldest(
+    shape: Shape, index: FreeIndex, tenants: Tenants, now_ms: int
+) -> HeadReservation | None:
+    """Return the window whose latest tenant started first, closed to backfill.
+
+    As nothing new starts there, the window keeps its rank until it is free, whatever the
+    estimates say. The wait is then at most the longest run time of its tenants.
+    """
+    if shape.accelerators == 0:
+        return _earliest_worker(shape, index, tenants, now_ms)
+    starts = {id(line): _cell_starts(line, shape, tenants) for line in index.lines}
+    found = _earliest_window(shape, index, starts)
+    return HeadReservation(now_ms, found.members) if found is not None else None
+
+
+def _earliest_window(
+    shape: Shape, index: FreeIndex, times: dict[int, list[float]]
+) -> HeadReservation | None:
+    """Return the window whose largest cell value is least."""
     best: tuple[float, RackLine, int] | None = None
     for line in index.lines:
         for start, end in _runs_to_search(line, shape.span):
@@ -86,6 +108,28 @@
     return times
 
 
+def _cell_starts(line: RackLine, shape: Shape, tenants: Tenants) -> list[float]:
+    """Return for each cell when the latest tenant started that the shape has to wait for."""
+    starts: list[float] = []
+    for room in line.rooms:
+        width = room.worker.accelerators
+        name = room.worker.name
+        latest = 0.0
+        if not room.has(*share_of(shape, min(width, shape.accelerators))):
+            present = tenants.on_worker.get(name, ())
+            latest = max((t.job.placed_ms for t, _ in present), default=_NEVER)
+        cells = tenants.on_cell.get(name, {})
+        for cell in range(width):
+            if room.held >> cell & 1:
+                starts.append(_NEVER)
+            elif room.free >> cell & 1:
+                starts.append(latest)
+            else:
+                tenant = cells.get(cell)
+                starts.append(max(latest, tenant.job.placed_ms) if tenant else _NEVER)
+    return starts
+
+
 def room_time(
     room: WorkerRoom, processors: int, memory_gb: int, tenants: Tenants, now_ms: int
 ) -> float:
--- a/libs/placement/src/hornbeamfold/placement/draft.py
+++ b/libs/placement/src/hornbeamfold/placement/draft.py
@@ -16,6 +16,7 @@
 )
 from hornbeamfold.placement.blocks import FreeIndex
 from hornbeamfold.placement.fit import Placement, find_place
+from hornbeamfold.placement.guarantees import entitled_active
 from hornbeamfold.placement.tenants import Key, Tenants, find_tenants
 
 
@@ -52,8 +53,11 @@
     entitled: frozenset[Key] = frozenset()
     decisions: list[Decision] = field(default_factory=list)
     placed: list[tuple[Job, tuple[Member, ...]]] = field(default_factory=list)
+    placed_keys: set[Key] = field(default_factory=set)
     stopped: set[Key] = field(default_factory=set)
+    heads: list[tuple[Member, ...]] = field(default_factory=list)
     _tenants: Tenants | None = None
+    _entitled_active: dict[str, list[Job]] | None = None
 
     @property
     def tenants(self) -> Tenants:
@@ -62,6 +66,12 @@
             self._tenants = find_tenants(self.active, self.state.estimates, self.now_ms)
         return self._tenants
 
+    def entitled_active(self) -> dict[str, list[Job]]:
+        """Return the entitled active jobs of each organisation, found when first needed."""
+        if self._entitled_active is None:
+            self._entitled_active = entitled_active(self.state.organisations, self.active)
+        return self._entitled_active
+
     def find(self, job: Job) -> Placement | None:
         """Return a free place, preferably not on workers on which the job failed before."""
         if not job.failed_on:
@@ -85,11 +95,17 @@
         """Decide a placement."""
         self.index.take(members)
         self.placed.append((job, members))
+        self.placed_keys.add(job.key)
         event = JobPlaced(
             job.spec.organisation, job.spec.job_id, job.attempt, members, self.state.offset
         )
         self.decisions.append(Decision(event, reason))
 
+    def hold_head(self, members: tuple[Member, ...]) -> None:
+        """Keep a window for a head of the queue."""
+        self.heads.append(members)
+        self.index.hold(members)
+
     def stop(
         self,
         job: Job,
--- a/libs/placement/src/hornbeamfold/placement/entitled.py
+++ b/libs/placement/src/hornbeamfold/placement/entitled.py
@@ -1,10 +1,11 @@
 """Places for entitled jobs: free ones that keep the guarantees whole, or reclaimed ones."""
 
+from dataclasses import dataclass
+
 from hornbeamfold.model import Job, Member, Reservation, StopReason
 from hornbeamfold.placement.blocks import FreeIndex, WorkerRoom, mask_of
 from hornbeamfold.placement.draft import Draft
 from hornbeamfold.placement.fit import find_place
-from hornbeamfold.placement.guarantees import entitled_active
 from hornbeamfold.placement.packing import Holder, Packing, pack_guarantees
 from hornbeamfold.placement.reclaim import cheapest_reclaim
 from hornbeamfold.placement.tenants import Key
@@ -14,22 +15,49 @@
 RECLAIMS_PER_PLAN = 8
 
 
-def place_entitled(draft: Draft, jobs: list[Job]) -> None:
-    """Place the entitled queued jobs, or stop borrowers for them."""
-    if not jobs:
-        return
-    waiting = [job for job in jobs if not _use_reservation(draft, job)]
-    if not waiting:
-        return
-    packing = _packing(draft, waiting)
-    protected = frozenset(packing.slot_of) - packing.movable
-    reclaims = 0
-    for job in waiting:
-        if _place_free(draft, packing, job):
-            continue
-        if job.key in draft.reservations or reclaims >= RECLAIMS_PER_PLAN:
-            continue
-        reclaims += _reclaim(draft, packing, protected, job)
+@dataclass
+class EntitledPlacer:
+    """Places entitled jobs one at a time; the packing is made when the first one needs it."""
+
+    draft: Draft
+    waiting: list[Job]
+    reclaims: int = 0
+    _packing: Packing | None = None
+
+    @property
+    def packing(self) -> Packing:
+        """The slots for the guarantees of all organisations."""
+        if self._packing is None:
+            waiting = [job for job in self.waiting if job.key not in self.draft.placed_keys]
+            self._packing = _pack(self.draft, waiting)
+        return self._packing
+
+    def place(self, job: Job) -> None:
+        """Place a job, or stop borrowers for it, or leave it waiting for a stop to end."""
+        if job.key in self.draft.reservations:
+            _use_reservation(self.draft, job)
+            return
+        if _place_free(self.draft, self.packing, job):
+            return
+        # The reservations for heads of the queue are no promise, so a guarantee overrides them.
+        heads = self.draft.heads
+        self.draft.heads = []
+        for head in heads:
+            self.draft.index.hold(head, -1)
+        if not _place_free(self.draft, self.packing, job):
+            self._reclaim(job)
+        for head in heads:
+            if not any(
+                self.draft.index.rooms[m.worker].held & mask_of(m.accelerators) for m in head
+            ):
+                self.draft.hold_head(head)
+
+    def _reclaim(self, job: Job) -> None:
+        if self.reclaims >= RECLAIMS_PER_PLAN:
+            return
+        self.reclaims += 1
+        protected = frozenset(self.packing.slot_of) - self.packing.movable
+        _reclaim(self.draft, self.packing, protected, job)
 
 
 def valid_reservations(draft: Draft) -> dict[Key, Reservation]:
@@ -61,9 +89,7 @@
 
 def _use_reservation(draft: Draft, job: Job) -> bool:
     """Place a job into its reservation if that is free."""
-    reservation = draft.reservations.get(job.key)
-    if reservation is None:
-        return False
+    reservation = draft.reservations[job.key]
     draft.index.hold(reservation.members, -1)
     if draft.index.fits(reservation.members):
         draft.place(job, reservation.members, "the window reclaimed for it is free")
@@ -72,11 +98,11 @@
     return False
 
 
-def _packing(draft: Draft, waiting: list[Job]) -> Packing:
+def _pack(draft: Draft, waiting: list[Job]) -> Packing:
     organisations = draft.state.organisations
     holders = {
         name: [Holder(job, tuple(status.member for status in job.members)) for job in jobs]
-        for name, jobs in entitled_active(organisations, draft.active).items()
+        for name, jobs in draft.entitled_active().items()
     }
     for job in waiting:
         reservation = draft.reservations.get(job.key)
@@ -152,8 +178,8 @@
     return found.members if found is not None else ()
 
 
-def _reclaim(draft: Draft, packing: Packing, protected: frozenset[Key], job: Job) -> int:
-    """Stop the tenants of the cheapest window; return how many searches that took."""
+def _reclaim(draft: Draft, packing: Packing, protected: frozenset[Key], job: Job) -> bool:
+    """Stop the tenants of the cheapest window; return whether there is one."""
     slot_id = packing.slot_of.get(job.key)
     part = _part_of_slot(draft, packing, job)
     slot = packing.slots.get(slot_id, ()) if slot_id is not None else ()
@@ -166,7 +192,7 @@
     if exact:
         packing.index.take(slot)
     if found is None:
-        return 1
+        return False
     _admit(draft, packing, job, found.window)
     draft.index.hold(found.window)
     for tenant in found.stops:
@@ -180,4 +206,4 @@
             f"cheapest window for {job.spec.organisation}/{job.spec.job_id} "
             f"costs {found.cost / 1000:.0f} accelerator seconds",
         )
-    return 1
+    return True
--- a/libs/placement/src/hornbeamfold/placement/plan.py
+++ b/libs/placement/src/hornbeamfold/placement/plan.py
@@ -3,28 +3,34 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from hornbeamfold.model import ACTIVE_JOBS, Job, JobJudged, JobState, Shape
-from hornbeamfold.placement.backfill import HeadReservation, reserve_head
+from hornbeamfold.model import ACTIVE_JOBS, Job, JobJudged, JobState, Shape, StopReason
+from hornbeamfold.model.timing import PATIENT_JOB_AGEING_MS
+from hornbeamfold.placement.backfill import HeadReservation, reserve_head, reserve_oldest
 from hornbeamfold.placement.blocks import FreeIndex, free_index, total_index
+from hornbeamfold.placement.defragment import worthwhile_moves
 from hornbeamfold.placement.draft import Decision, Draft, PlanningState
-from hornbeamfold.placement.entitled import place_entitled, valid_reservations
-from hornbeamfold.placement.estimates import estimated_ms
+from hornbeamfold.placement.entitled import EntitledPlacer, valid_reservations
+from hornbeamfold.placement.estimates import STOPPING_MS, estimated_ms
 from hornbeamfold.placement.fit import infeasible_reason
 from hornbeamfold.placement.guarantees import entitled_queue
-from hornbeamfold.placement.queue import is_aged, ordered
+from hornbeamfold.placement.queue import is_aged, oldest_aged, ordered
+from hornbeamfold.placement.tenants import Tenant
 
 # One call looks at so many queued jobs behind the head. A job further back is seldom the one that
 # fits, and the next call, after these decisions, starts from the head again.
 LOOKED_AT = 256
 # More placements in one call would delay the first of them by the time to decide the others.
 PLACEMENTS_PER_PLAN = 64
+# Estimates that are always too short could move the window of the head again and again. A head
+# this old gets the window with the oldest tenants and no backfill, which stays the same window.
+STRICT_AGE_MS = 2 * PATIENT_JOB_AGEING_MS
 
 
 class _Group(Enum):
     """Groups of queued jobs that have a reservation each.
 
-    Urgent jobs have one beside the aged patient jobs: with a single one, a large urgent job would
-    wait for every aged job before it.
+    Urgent jobs have one beside the oldest aged patient job: with a single one, a large urgent job
+    would wait for every aged job before it. Other patient jobs have one if nobody else needs it.
     """
 
     AGED = 0
@@ -81,32 +87,69 @@
 
 def _place_in_order(draft: Draft, order: Iterable[Job]) -> None:
     entitled = [job for job in draft.queued if job.key in draft.entitled]
-    entitled.sort(key=lambda job: (not job.spec.urgent, job.submitted_ms, job.key))
-    place_entitled(draft, entitled)
+    placer = EntitledPlacer(draft, entitled)
+    # Entitled urgent jobs take their guarantee from whoever has it, so a job placed before them
+    # might be stopped at once.
+    for job in sorted(entitled, key=lambda job: (job.submitted_ms, job.key)):
+        if job.spec.urgent:
+            placer.place(job)
+    oldest = oldest_aged(draft.queued, draft.entitled, draft.now_ms)
     heads: dict[_Group, HeadReservation | None] = {}
     failed: set[tuple[Shape, frozenset[_Group]]] = set()
     looked = 0
     for job in order:
         if job.key in draft.entitled:
+            if not job.spec.urgent:
+                placer.place(job)
             continue
         looked += 1
         if looked > LOOKED_AT or len(draft.placed) >= PLACEMENTS_PER_PLAN:
             break
         if _place_behind(draft, job, heads, failed):
             continue
-        group = _group_of(job, draft.now_ms)
+        group = _Group.URGENT if job.spec.urgent else _Group.PATIENT
+        if job is oldest:
+            group = _Group.AGED
         if group in heads or (group is _Group.PATIENT and heads):
             continue
-        head = reserve_head(job.spec.shape, draft.index, draft.tenants, draft.now_ms)
+        head = _reserve(draft, job, group)
         heads[group] = head
         if head is not None:
-            draft.index.hold(head.members)
+            draft.hold_head(head.members)
 
 
-def _group_of(job: Job, now_ms: int) -> _Group:
-    if is_aged(job, now_ms):
-        return _Group.AGED
-    return _Group.URGENT if job.spec.urgent else _Group.PATIENT
+def _reserve(draft: Draft, job: Job, group: _Group) -> HeadReservation | None:
+    if group is _Group.AGED and draft.now_ms - job.submitted_ms > STRICT_AGE_MS:
+        return reserve_oldest(job.spec.shape, draft.index, draft.tenants, draft.now_ms)
+    head = reserve_head(job.spec.shape, draft.index, draft.tenants, draft.now_ms)
+    return head if group is _Group.PATIENT else _moved_for(draft, job, head)
+
+
+def _moved_for(draft: Draft, job: Job, head: HeadReservation | None) -> HeadReservation | None:
+    """Move younger checkpointable jobs out of a window for a head, if its wait is worth it."""
+    if draft.stopped:
+        return head
+    keep = {item.key for jobs in draft.entitled_active().values() for item in jobs}
+
+    def movable(tenant: Tenant) -> bool:
+        other = tenant.job
+        if not other.spec.checkpointable or other.spec.urgent or other.key in keep:
+            return False
+        # It must come after the gang in the queue, or it would take the window back.
+        if job.spec.urgent:
+            return not is_aged(other, draft.now_ms)
+        return other.submitted_ms > job.submitted_ms
+
+    wait_ms = head.start_ms - draft.now_ms if head is not None else float("inf")
+    found = worthwhile_moves(job.spec.shape, wait_ms, draft.index, draft.tenants, movable)
+    if found is None:
+        return head
+    for tenant in found.stops:
+        draft.stop(
+            tenant.job, StopReason.DEFRAGMENT, None, (),
+            f"moved for {'/'.join(job.key)}, which would wait {wait_ms / 1000:.0f} s",
+        )  # fmt: skip
+    return HeadReservation(draft.now_ms + STOPPING_MS, found.window)
 
 
 def _place_behind(
@@ -118,7 +161,9 @@
     """Place a job outside the reservations, or inside those before whose start it ends."""
     ends = draft.now_ms + estimated_ms(job.spec, draft.state.estimates)
     passed = {
-        group: head for group, head in heads.items() if head is not None and ends <= head.start_ms
+        group: head
+        for group, head in heads.items()
+        if head is not None and ends <= head.start_ms and head.members in draft.heads
     }
     # What was tried with the same reservations in force fails again, because room only shrinks.
     attempt = (job.spec.shape, frozenset(heads).difference(passed))
--- a/libs/placement/src/hornbeamfold/placement/queue.py
+++ b/libs/placement/src/hornbeamfold/placement/queue.py
@@ -1,16 +1,24 @@
-"""The order of the queue: aged patient jobs, then classes, fair share and age."""
+"""The order of the queue: the oldest aged patient job, then classes, fair share and age."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from heapq import heapify, heappop, heappush
 
 from hornbeamfold.model import ACTIVE_JOBS, Job, JobState, Organisation
 from hornbeamfold.model.timing import PATIENT_JOB_AGEING_MS
-from hornbeamfold.placement.guarantees import entitled_queue
+from hornbeamfold.placement.guarantees import Key, entitled_queue
 
-_AGED = 0
-_ENTITLED_URGENT = 1
-_URGENT = 2
-_ENTITLED_PATIENT = 3
+# Urgent jobs that waited longer go by age. By share alone the reservation would change hands with
+# each start, and a large urgent job would lose its window again and again.
+URGENT_AGEING_MS = 60_000
+
+# After an aged patient job was placed as the head, urgent jobs go first for this time. Without it,
+# a backlog of aged jobs would take each accelerator that becomes free before urgent work.
+HEAD_SPACING_MS = 30_000
+
+_ENTITLED_URGENT = 0
+_URGENT = 1
+_ENTITLED_PATIENT = 2
+_AGED = 3
 _PATIENT = 4
 
 
@@ -31,20 +39,56 @@
 
 def ordered(
     queued: Iterable[Job],
-    active: Iterable[Job],
+    active: Collection[Job],
     organisations: Mapping[str, Organisation],
-    entitled: frozenset[tuple[str, str]],
+    entitled: frozenset[Key],
     now_ms: int,
 ) -> Iterator[Job]:
-    """Yield queued jobs in order; each yielded job counts as usage for the rest of its class."""
+    """Yield queued jobs in order; each yielded job counts as usage for the rest of its class.
+
+    The oldest aged patient job comes first, or right after the urgent jobs if an older one was
+    placed a moment ago. The other aged ones come before the younger patient jobs.
+    """
     classes: list[list[Job]] = [[], [], [], [], []]
     for job in queued:
         classes[_class_of(job, entitled, now_ms)].append(job)
-    classes[_AGED].sort(key=_age)
-    yield from classes[_AGED]
+    aged = classes[_AGED]
+    aged.sort(key=_age)
+    first = bool(aged) and not _recent_head(aged[0], active, now_ms)
     used = usage(active)
-    for jobs in classes[1:]:
-        yield from _by_fair_share(jobs, used, organisations)
+    if first:
+        yield aged[0]
+    yield from _by_fair_share(classes[_ENTITLED_URGENT], used, organisations)
+    young = []
+    waited = []
+    for job in classes[_URGENT]:
+        (waited if now_ms - job.submitted_ms > URGENT_AGEING_MS else young).append(job)
+    yield from sorted(waited, key=_age)
+    yield from _by_fair_share(young, used, organisations)
+    if aged and not first:
+        yield aged[0]
+    yield from _by_fair_share(classes[_ENTITLED_PATIENT], used, organisations)
+    yield from aged[1:]
+    yield from _by_fair_share(classes[_PATIENT], used, organisations)
+
+
+def oldest_aged(queued: Iterable[Job], entitled: frozenset[Key], now_ms: int) -> Job | None:
+    """Return the patient job that has the reservation of the aged, if any job is that old."""
+    aged = [job for job in queued if job.key not in entitled and is_aged(job, now_ms)]
+    return min(aged, key=_age, default=None)
+
+
+def _recent_head(head: Job, active: Iterable[Job], now_ms: int) -> bool:
+    """Return whether an older patient job was placed within the spacing.
+
+    Younger ones do not count: they were placed beside the head and must not delay it.
+    """
+    return any(
+        now_ms - job.placed_ms < HEAD_SPACING_MS
+        and job.submitted_ms < head.submitted_ms
+        and is_aged(job, job.placed_ms)
+        for job in active
+    )
 
 
 def usage(active: Iterable[Job]) -> dict[str, int]:
@@ -89,12 +133,12 @@
     return used.get(name, 0) / weight if weight > 0 else float("inf")
 
 
-def _class_of(job: Job, entitled: frozenset[tuple[str, str]], now_ms: int) -> int:
-    if is_aged(job, now_ms):
-        return _AGED
+def _class_of(job: Job, entitled: frozenset[Key], now_ms: int) -> int:
     if job.key in entitled:
         return _ENTITLED_URGENT if job.spec.urgent else _ENTITLED_PATIENT
-    return _URGENT if job.spec.urgent else _PATIENT
+    if job.spec.urgent:
+        return _URGENT
+    return _AGED if is_aged(job, now_ms) else _PATIENT
 
 
 def _age(job: Job) -> tuple[int, str, str]:
--- a/libs/placement/src/hornbeamfold/placement/tenants.py
+++ b/libs/placement/src/hornbeamfold/placement/tenants.py
@@ -9,8 +9,8 @@
 Key = tuple[str, str]
 # What a move costs a checkpointable job: its checkpoint, its restart and the work between.
 MOVE_COST_MS = 30_000
-# An urgent tenant is stopped only if that saves twice the work of patient ones.
-URGENT_COST_FACTOR = 2.0
+# An urgent tenant is stopped only if that saves many times the work of patient ones.
+URGENT_COST_FACTOR = 10.0
 
 
 @dataclass(frozen=True)
