Wake keepers that are in the middle of an exchange

Cause: in one demo a gang started after 2,089 ms: a placement that was folded during an exchange woke nobody, and the keeper slept for its whole interval of 2 s. Change: a wake-up is counted, and the wait ends at once if one came during the exchange; the placer does the same with the offset. SIGTERM goes through the loop's own handler, which wakes an idle hub.

--- a/libs/daemon/src/hornbeamfold/daemon/keepers.py
+++ b/libs/daemon/src/hornbeamfold/daemon/keepers.py
@@ -119,7 +119,7 @@
         self._interval_ms = sync_interval_ms
         self._on_load = on_load
         self._listed_leaving = leaving
-        self._kept: dict[str, Signal] = {}
+        self._kept: dict[str, _Wakeup] = {}
         self._basis: tuple[object, ...] = ()
         self._leaving: set[str] = set()
         self._running = True
@@ -143,9 +143,9 @@
             if job is None:
                 continue
             for status in job.members:
-                signal = self._kept.get(status.member.worker)
-                if signal is not None:
-                    signal.notify()
+                wakeup = self._kept.get(status.member.worker)
+                if wakeup is not None:
+                    wakeup.notify()
 
     def run(self) -> None:
         """Start and end keepers as the ranking changes."""
@@ -158,8 +158,8 @@
     def stop(self) -> None:
         """End all keepers; other instances take the workers over."""
         self._running = False
-        for signal in list(self._kept.values()):
-            signal.notify()
+        for wakeup in list(self._kept.values()):
+            wakeup.notify()
         self._kept.clear()
 
     def _leaving_workers(self) -> frozenset[str]:
@@ -181,20 +181,21 @@
         for name in sorted(set(self._kept) - wanted):
             self._kept.pop(name).notify()
         for name in sorted(wanted - set(self._kept)):
-            self._kept[name] = Signal()
+            self._kept[name] = _Wakeup()
             eventlet.spawn(self._keep, name, self._kept[name])
 
-    def _keep(self, worker: str, signal: Signal) -> None:
+    def _keep(self, worker: str, wakeup: "_Wakeup") -> None:
         """Keep one worker until it is taken out of the set."""
         session = _Session(worker, self._clock())
-        while self._running and self._kept.get(worker) is signal:
+        while self._running and self._kept.get(worker) is wakeup:
+            seen = wakeup.count
             try:
                 wait_ms = self._exchange(session)
             except Exception:
                 # A fault in one exchange must not end the renewals of all tasks on the worker.
                 logger.exception("The exchange with a worker failed", extra={"worker": worker})
                 wait_ms = self._interval_ms
-            signal.wait(wait_ms)
+            wakeup.wait(seen, wait_ms)
 
     def _exchange(self, session: "_Session") -> int:
         view = self._follower.view
@@ -355,6 +356,29 @@
         self._report(session, reports)
 
 
+class _Wakeup:
+    """Wakes one keeper, also if it is in the middle of an exchange."""
+
+    def __init__(self) -> None:
+        self._signal = Signal()
+        self._count = 0
+
+    @property
+    def count(self) -> int:
+        """The number of notifications so far."""
+        return self._count
+
+    def notify(self) -> None:
+        """Ask for another exchange."""
+        self._count += 1
+        self._signal.notify()
+
+    def wait(self, seen: int, timeout_ms: int) -> None:
+        """Wait for a notification after the first `seen` ones."""
+        if self._count == seen:
+            self._signal.wait(timeout_ms)
+
+
 class _Session:
     """What one keeper remembers of its worker."""
 
--- a/libs/daemon/src/hornbeamfold/daemon/main.py
+++ b/libs/daemon/src/hornbeamfold/daemon/main.py
@@ -48,14 +48,10 @@
     lifecycle = Lifecycle()
     parts = build(settings, lifecycle)
     stopping = eventlet.event.Event()
-
-    def ask_to_stop(number: int, frame: object) -> None:
-        del number, frame
-        if not stopping.ready():
-            hubs.get_hub().schedule_call_global(0, _send_once, stopping)
-
-    signal.signal(signal.SIGTERM, ask_to_stop)
-    signal.signal(signal.SIGINT, ask_to_stop)
+    # The loop's own handler wakes an idle hub, which a plain signal handler may not do.
+    loop = hubs.get_hub().loop
+    loop.add_signal_handler(signal.SIGTERM, _send_once, stopping)
+    loop.add_signal_handler(signal.SIGINT, _send_once, stopping)
     server = start(parts, settings, lifecycle)
     stopping.wait()
     finished = stop(parts, server, settings, lifecycle)
--- a/libs/daemon/src/hornbeamfold/daemon/placer.py
+++ b/libs/daemon/src/hornbeamfold/daemon/placer.py
@@ -99,12 +99,15 @@
     def run(self) -> None:
         """Plan after each change, when it is this instance's turn."""
         while self._running:
+            offset = self._follower.view.offset
             try:
                 self._step()
             except Exception:
                 logger.exception("A planning pass failed")
                 eventlet.sleep(IDLE_MS / 1_000)
-            self._follower.changed.wait(IDLE_MS)
+            # Entries that were folded during the pass are looked at without a wait.
+            if self._follower.view.offset == offset:
+                self._follower.changed.wait(IDLE_MS)
 
     def stop(self) -> None:
         """End the loop after the present pass."""
