--- a/libs/routing/src/hornbeamfold/routing/fair_queue.py
+++ b/libs/routing/src/hornbeamfold/routing/fair_queue.py
@@ -18,6 +18,8 @@
 # Limits how much aged work starts in a row after a time without any.
 MAX_AGED_CREDIT_MS = 1_000.0
 MAX_STALE_DEADLINES = 64
+# A weight of zero would divide by zero and starve the organisation.
+MIN_WEIGHT = 0.01
 
 
 @dataclass(frozen=True)
@@ -145,7 +147,11 @@
     ) -> None:
         self._limit = limit
         self._ageing_ms = ageing_ms
-        self._lanes: dict[bool, _Lane[P]] = {True: _Lane(weight_of), False: _Lane(weight_of)}
+
+        def weight(organisation: str) -> float:
+            return max(MIN_WEIGHT, weight_of(organisation))
+
+        self._lanes: dict[bool, _Lane[P]] = {True: _Lane(weight), False: _Lane(weight)}
         self._waiting: dict[Key, Waiting[P]] = {}
         self._patient_by_age: OrderedDict[Key, Waiting[P]] = OrderedDict()
         self._deadlines: list[tuple[int, Key]] = []
@@ -187,7 +193,10 @@
         return waiting
 
     def put_back(self, waiting: Waiting[P]) -> None:
-        """Return a request that was taken but did not start to its former place."""
+        """Return a request that was taken but did not start to its former place.
+
+        The caller makes sure that no request of the same key was offered in between.
+        """
         self._lanes[waiting.urgent].push_front(waiting)
         key, credit_ms = self._undo
         if key == waiting.key:
--- a/libs/routing/tests/test_fair_queue.py
+++ b/libs/routing/tests/test_fair_queue.py
@@ -145,6 +145,13 @@
         self.assertEqual(offered.displaced.key, ("burst", "9"))
         self.assertIsInstance(target.offer(waiting("burst", 11), 8, 0), Refused)
 
+    def test_a_weight_of_zero_is_served(self) -> None:
+        """Guards against a configured weight that stops or empties the queue."""
+        target = queue(weights={"zero": 0.0})
+        target.offer(waiting("zero", 1), 8, 0)
+        target.offer(waiting("a", 1), 8, 0)
+        self.assertEqual(sorted(self.organisations(target, 2)), ["a", "zero"])
+
     def test_a_repeated_request_waits_once(self) -> None:
         """Guards against a second run of a request that is already queued."""
         target = queue()
