--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SECONDS ?= 60
 LIB ?=
 
-.PHONY: help setup test test-one lint format types schema demo faults measure slopes soak run-tool
+.PHONY: help setup test test-one lint format types schema demo serve tool faults measure slopes soak
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
@@ -50,6 +50,12 @@
 demo: setup  ## Start stand-ins and 8 instances, serve the sample work, print what happened.
 	$(PY) -m hornbeamfold.bench.demo
 
+serve: setup  ## Keep a firm running for a tour with the tool: make serve [FIRM=highwater]
+	$(PY) -m hornbeamfold.bench.serve $(or $(FIRM),rampes)
+
+tool: setup  ## Run the tool: make tool ARGS="instances"
+	$(PY) -m hornbeamfold.cli $(ARGS)
+
 faults: setup  ## Run the fault matrix and print its table.
 	$(PY) -m hornbeamfold.bench.faults
 
--- a/libs/routing/src/hornbeamfold/routing/outliers.py
+++ b/libs/routing/src/hornbeamfold/routing/outliers.py
@@ -2,7 +2,6 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from enum import StrEnum
 
 Key = tuple[str, str]
@@ -34,17 +33,17 @@
     REQUEST = "request"
 
 
-@dataclass
 class _Record:
     """The recent outcomes of one worker; `streak` maps failed requests to their times."""
 
-    streak: dict[Key, int] = field(default_factory=dict)
-    succeeded_ms: int | None = None
-    ejected_ms: int | None = None
-    until_ms: int = 0
-    steps: int = 0
-    probing: bool = False
-    restored_ms: int = 0
+    def __init__(self) -> None:
+        self.streak: dict[Key, int] = {}
+        self.succeeded_ms: int | None = None
+        self.ejected_ms: int | None = None
+        self.until_ms = 0
+        self.steps = 0
+        self.probing = False
+        self.restored_ms = 0
 
 
 class OutlierTable:
