Close three ways to a false answer or a late start

Cause, found by reading: a request could wait in the queue for longer than the view stays fresh and then start; a refused job submission said not run although an earlier call for the same job may have been accepted elsewhere; an instance that joined while the instance list was down too could accept a change that nobody else knew of. Change: freshness is checked again after the wait for a slot; job refusals say not run only on a view confirmed after the call's arrival; the plain outage rule needs a list read within 5 s, and a joining instance settles 15 s after the list took its announcement.

--- a/libs/bench/tests/test_calls.py
+++ b/libs/bench/tests/test_calls.py
@@ -73,35 +73,39 @@
         running = running_fleet(rampes(), FleetOptions(instances=2))
         cls.fleet = cls.enterClassContext(running)
         cls.first, cls.second = cls.fleet.addresses()
-        wait_until(cls.configured, 20, "the configuration is accepted")
+        topology = cls.fleet.topology
+        for zone in topology.zones:
+            fields: dict[str, Any] = {"name": zone.name, "region": zone.region, "in_service": True}
+            cls.change(cls.first, "Operators/SetZone", **fields)
+        workers = [pb.Worker(**vars(worker)) for worker in topology.workers]
+        cls.change(cls.second, "Operators/PutWorkers", workers=workers, version=0)
+        for one in topology.organisations:
+            shapes = [
+                pb.Shape(
+                    accelerators=shape.accelerators,
+                    processors=shape.processors,
+                    memory_gb=shape.memory_gb,
+                    span=shape.span + 1,
+                )
+                for shape in one.guarantee
+            ]
+            fields = {"name": one.name, "guarantee": shapes, "weight": one.weight}
+            cls.change(cls.first, "Operators/PutOrganisation", **fields)
 
     @classmethod
-    def configured(cls) -> bool:
-        """Publish the topology through both instances; return whether all of it was accepted."""
-        topology = cls.fleet.topology
-        try:
-            for zone in topology.zones:
-                fields = {"name": zone.name, "region": zone.region, "in_service": True}
-                call(cls.first, "Operators/SetZone", **fields)
-            workers = [pb.Worker(**vars(worker)) for worker in topology.workers]
-            call(cls.second, "Operators/PutWorkers", workers=workers, version=0)
-            for one in topology.organisations:
-                shapes = [
-                    pb.Shape(
-                        accelerators=shape.accelerators,
-                        processors=shape.processors,
-                        memory_gb=shape.memory_gb,
-                        span=shape.span + 1,
-                    )
-                    for shape in one.guarantee
-                ]
-                fields = {"name": one.name, "guarantee": shapes, "weight": one.weight}
-                call(cls.first, "Operators/PutOrganisation", **fields)
-        except grpc.RpcError as error:
-            if error.code() is grpc.StatusCode.UNAVAILABLE:
-                return False
-            raise
-        return True
+    def change(cls, address: str, path: str, **fields: Any) -> None:
+        """Publish a change, again for as long as a joining instance does not accept any."""
+
+        def accepted() -> bool:
+            try:
+                call(address, path, **fields)
+            except grpc.RpcError as error:
+                if error.code() is grpc.StatusCode.UNAVAILABLE:
+                    return False
+                raise
+            return True
+
+        wait_until(accepted, 20, f"{path} is accepted")
 
     def refused(self, address: str, path: str, **fields: Any) -> tuple[str, str]:
         """Return the error kind and what is said of the run, of a call that must be refused."""
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -88,7 +88,7 @@
     """Create all parts of an instance; nothing runs yet."""
     incarnation = f"{settings.name}-{uuid4().hex[:12]}"
     peers = PeerTable(settings.name, settings.region)
-    freshness = Freshness(peers, settings.region, clock())
+    freshness = Freshness(peers, settings.region)
     client = LogClient(settings.log_url, clock, settings.name, settings.availability_zone)
     writer = LogWriter(incarnation, client.append, clock)
     follower = LogFollower(guarantees_fit, writer, freshness, clock)
@@ -199,7 +199,7 @@
         wall,
         lambda: lifecycle.draining,
     )
-    jobs = JobService(follower, writer, wall, lambda: lifecycle.draining)
+    jobs = JobService(follower, writer, confirm, clock, wall, lambda: lifecycle.draining)
     operators = OperatorService(
         settings, lambda: peering.address, follower, writer, peers, freshness, clock
     )
--- a/libs/daemon/src/hornbeamfold/daemon/jobs.py
+++ b/libs/daemon/src/hornbeamfold/daemon/jobs.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable, Iterator
 
 from hornbeamfold.daemon.clock import Clock
-from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.daemon.follower import Confirm, LogFollower
 from hornbeamfold.daemon.writes import rejection, write_event
 from hornbeamfold.logclient import LogWriter
-from hornbeamfold.model.errors import ErrorKind, Refused
+from hornbeamfold.model.errors import ErrorKind, Ran, Refused
 from hornbeamfold.model.events import JobCancelled, JobSubmitted
 from hornbeamfold.model.status import JobList, JobStatus
+from hornbeamfold.model.timing import LOG_WAIT_MS
 from hornbeamfold.model.work import ENDED_JOBS, Job, JobSpec
 from hornbeamfold.placement import entitled_keys, is_feasible, order_queue
 
@@ -22,16 +23,27 @@
         self,
         follower: LogFollower,
         writer: LogWriter,
+        confirm: Confirm,
+        clock: Clock,
         wall: Clock,
         draining: Callable[[], bool],
     ) -> None:
         self._follower = follower
         self._writer = writer
+        self._confirm = confirm
+        self._clock = clock
         self._wall = wall
         self._draining = draining
 
     def submit(self, spec: JobSpec) -> JobStatus | Refused:
         """Put a job into the queue; the same job again is answered with its present state."""
+        arrived = self._clock()
+        outcome = self._submit(spec)
+        if isinstance(outcome, Refused):
+            return self._truthful(spec, outcome, arrived)
+        return outcome
+
+    def _submit(self, spec: JobSpec) -> JobStatus | Refused:
         refused = self._check(spec)
         if refused is not None:
             return refused
@@ -103,6 +115,22 @@
                 return
             self._follower.changed.wait(FOLLOW_WAIT_MS)
 
+    def _truthful(self, spec: JobSpec, refused: Refused, arrived: int) -> Refused:
+        """Say "not run" only if a view confirmed after the call's arrival has no such job.
+
+        The same job may have been submitted before, through an instance that is further in the log.
+        """
+        if refused.effective_ran != Ran.NOT_RUN or refused.kind == ErrorKind.DUPLICATE_REQUEST:
+            return refused
+        confirmed = self._confirm(arrived, LOG_WAIT_MS)
+        if confirmed and spec.key not in self._follower.view.jobs:
+            return refused
+        return Refused(
+            ErrorKind.OUTCOME_UNKNOWN,
+            f"Refused here ({refused.kind.value}: {refused.detail}), "
+            "but an earlier call may have submitted the job; ask for its state.",
+        )
+
     def _check(self, spec: JobSpec) -> Refused | None:
         if self._draining():
             return Refused(ErrorKind.DRAINING, "This instance is shutting down.")
--- a/libs/daemon/src/hornbeamfold/daemon/requests.py
+++ b/libs/daemon/src/hornbeamfold/daemon/requests.py
@@ -244,12 +244,14 @@
         detail = ""
         ran = Ran.NOT_RUN
         while True:
-            permit = self._freshness.may_start(self._clock())
-            if not permit.granted:
-                return Refused(ErrorKind.STALE_VIEW, permit.reason, ran)
             slot = self._dispatcher.acquire(request, frozenset(tried))
             if isinstance(slot, Refused):
                 return _after_tries(slot, ran, detail)
+            # The request may have waited for its slot longer than the view stays fresh.
+            permit = self._freshness.may_start(self._clock())
+            if not permit.granted:
+                slot.release()
+                return _after_tries(Refused(ErrorKind.STALE_VIEW, permit.reason), ran, detail)
             result = self._run_hedged(request, digest, slot, frozenset(tried))
             if isinstance(result, RunDone):
                 return self._checked(request, digest, result, slot.worker.name)
@@ -281,7 +283,9 @@
         first.link(_send_result, done)
         with eventlet.Timeout(delay_ms / 1_000, False):
             return done.wait()
-        second_slot = self._dispatcher.hedge(request, tried | {slot.worker.name})
+        fresh = self._freshness.may_start(self._clock()).granted
+        exclude = tried | {slot.worker.name}
+        second_slot = self._dispatcher.hedge(request, exclude) if fresh else None
         if second_slot is None:
             return first.wait()
         second = eventlet.spawn(self._run, request, digest, second_slot)
--- a/libs/membership/src/hornbeamfold/membership/freshness.py
+++ b/libs/membership/src/hornbeamfold/membership/freshness.py
@@ -24,10 +24,10 @@
 class Freshness:
     """When this instance last confirmed the log's end, and what follows from it."""
 
-    def __init__(self, peers: PeerTable, region: str, started_ms: int) -> None:
+    def __init__(self, peers: PeerTable, region: str) -> None:
         self._peers = peers
         self._region = region
-        self._started_ms = started_ms
+        self._announced_ms: int | None = None
         self._confirmed_ms: int | None = None
         self._log_reachable = False
         self._offset = 0
@@ -45,6 +45,11 @@
         if self._confirmed_ms is None or read_started_ms > self._confirmed_ms:
             self._confirmed_ms = read_started_ms
 
+    def announced(self, now_ms: int) -> None:
+        """Note that the list has taken this instance; the others can know of it from then on."""
+        if self._announced_ms is None:
+            self._announced_ms = now_ms
+
     def advanced(self, offset: int) -> None:
         """Note folded records that did not reach the log's end."""
         self._offset = offset
@@ -89,7 +94,7 @@
         """Return whether every listed instance has heard this one, or could have by now."""
         if self._settled:
             return True
-        if now_ms - self._started_ms >= JOIN_SETTLE_MS:
+        if self._announced_ms is not None and now_ms - self._announced_ms >= JOIN_SETTLE_MS:
             self._settled = True
             return True
         peers = self._peers.peers()
@@ -129,8 +134,8 @@
         peers = self._peers.peers()
         if self._confirmed_ms is None:
             return Permit(False, "the log's end was never confirmed")
-        if not self._peers.list_read:
-            return Permit(False, "stale, and the list of instances was never read")
+        if not self._peers.list_fresh(now_ms):
+            return Permit(False, "stale, and the list of instances was not read recently")
         if self._log_reachable:
             return Permit(False, f"stale: log end confirmed {age} ms ago")
         for name in sorted(known):
--- a/libs/membership/src/hornbeamfold/membership/peers.py
+++ b/libs/membership/src/hornbeamfold/membership/peers.py
@@ -6,7 +6,7 @@
 from hornbeamfold.membership.listing import ListedInstance
 from hornbeamfold.membership.ranking import keeper_of, rank_names
 from hornbeamfold.model.status import PeerHeartbeat
-from hornbeamfold.model.timing import KNOWN_MS, SUSPECT_MS
+from hornbeamfold.model.timing import KNOWN_MS, LIST_FRESH_MS, SUSPECT_MS
 
 
 @dataclass(frozen=True)
@@ -55,6 +55,10 @@
         """Whether the list was ever read."""
         return self._list_read_ms is not None
 
+    def list_fresh(self, now_ms: int) -> bool:
+        """Return whether the list was read recently enough to show every settled instance."""
+        return self._list_read_ms is not None and now_ms - self._list_read_ms <= LIST_FRESH_MS
+
     def next_seq(self, now_ms: int) -> int:
         """Return the number of the next heartbeat round and remember when it was sent."""
         self._seq += 1
--- a/libs/membership/tests/mixins.py
+++ b/libs/membership/tests/mixins.py
@@ -7,10 +7,10 @@
 class PeerMixin:
     """Builds peer tables and heartbeats for an instance named "a"."""
 
-    def table(self, *listed: str) -> PeerTable:
+    def table(self, *listed: str, at_ms: int = 0) -> PeerTable:
         """Return the table of instance "a" after it read a list with these entry instances."""
         table = PeerTable("a", "east")
-        table.set_list([ListedInstance(name, "entry", "", "", "live") for name in listed], 0)
+        table.set_list([ListedInstance(name, "entry", "", "", "live") for name in listed], at_ms)
         return table
 
     def heartbeat(self, name: str, seq: int, echo: int = 0, **changes: object) -> PeerHeartbeat:
--- a/libs/model/src/hornbeamfold/model/timing.py
+++ b/libs/model/src/hornbeamfold/model/timing.py
@@ -5,7 +5,9 @@
 # A peer that was silent for this long is suspected.
 SUSPECT_MS = 1_500
 HEARTBEAT_MS = 500
-# The list of instances may lag by this much; a joining instance waits for it.
+# The list of instances lags by at most 10 s. An instance that joins waits for that and for the age
+# that a reading of the list may have where the plain outage rule relies on it.
+LIST_FRESH_MS = 5_000
 JOIN_SETTLE_MS = 15_000
 # An instance heard or listed within this time counts as known.
 KNOWN_MS = 60_000
