Place entitled jobs before all others in one call

Cause: an aged or urgent job placed earlier in the same call could be in the window that an entitled job had to reclaim, and a reservation for a head could keep processors of a reclaimed window for ever. Change: entitled jobs are placed first, with no window held for a head at that time.

--- a/libs/placement/src/hornbeamfold/placement/draft.py
+++ b/libs/placement/src/hornbeamfold/placement/draft.py
@@ -55,7 +55,6 @@
     placed: list[tuple[Job, tuple[Member, ...]]] = field(default_factory=list)
     placed_keys: set[Key] = field(default_factory=set)
     stopped: set[Key] = field(default_factory=set)
-    heads: list[tuple[Member, ...]] = field(default_factory=list)
     _tenants: Tenants | None = None
     _entitled_active: dict[str, list[Job]] | None = None
 
@@ -101,11 +100,6 @@
         )
         self.decisions.append(Decision(event, reason))
 
-    def hold_head(self, members: tuple[Member, ...]) -> None:
-        """Keep a window for a head of the queue."""
-        self.heads.append(members)
-        self.index.hold(members)
-
     def stop(
         self,
         job: Job,
--- a/libs/placement/src/hornbeamfold/placement/entitled.py
+++ b/libs/placement/src/hornbeamfold/placement/entitled.py
@@ -36,21 +36,8 @@
         """Place a job, or stop borrowers for it, or leave it waiting for a stop to end."""
         if job.key in self.draft.reservations:
             _use_reservation(self.draft, job)
-            return
-        if _place_free(self.draft, self.packing, job):
-            return
-        # The reservations for heads of the queue are no promise, so a guarantee overrides them.
-        heads = self.draft.heads
-        self.draft.heads = []
-        for head in heads:
-            self.draft.index.hold(head, -1)
-        if not _place_free(self.draft, self.packing, job):
+        elif not _place_free(self.draft, self.packing, job):
             self._reclaim(job)
-        for head in heads:
-            if not any(
-                self.draft.index.rooms[m.worker].held & mask_of(m.accelerators) for m in head
-            ):
-                self.draft.hold_head(head)
 
     def _reclaim(self, job: Job) -> None:
         if self.reclaims >= RECLAIMS_PER_PLAN:
--- a/libs/placement/src/hornbeamfold/placement/plan.py
+++ b/libs/placement/src/hornbeamfold/placement/plan.py
@@ -88,19 +88,16 @@
 def _place_in_order(draft: Draft, order: Iterable[Job]) -> None:
     entitled = [job for job in draft.queued if job.key in draft.entitled]
     placer = EntitledPlacer(draft, entitled)
-    # Entitled urgent jobs take their guarantee from whoever has it, so a job placed before them
-    # might be stopped at once.
-    for job in sorted(entitled, key=lambda job: (job.submitted_ms, job.key)):
-        if job.spec.urgent:
-            placer.place(job)
+    # A job placed before an entitled one could be in the window that this one has to reclaim, and
+    # could only be stopped in a later call.
+    for job in sorted(entitled, key=lambda job: (not job.spec.urgent, job.submitted_ms, job.key)):
+        placer.place(job)
     oldest = oldest_aged(draft.queued, draft.entitled, draft.now_ms)
     heads: dict[_Group, HeadReservation | None] = {}
     failed: set[tuple[Shape, frozenset[_Group]]] = set()
     looked = 0
     for job in order:
         if job.key in draft.entitled:
-            if not job.spec.urgent:
-                placer.place(job)
             continue
         looked += 1
         if looked > LOOKED_AT or len(draft.placed) >= PLACEMENTS_PER_PLAN:
@@ -115,7 +112,7 @@
         head = _reserve(draft, job, group)
         heads[group] = head
         if head is not None:
-            draft.hold_head(head.members)
+            draft.index.hold(head.members)
 
 
 def _reserve(draft: Draft, job: Job, group: _Group) -> HeadReservation | None:
@@ -161,9 +158,7 @@
     """Place a job outside the reservations, or inside those before whose start it ends."""
     ends = draft.now_ms + estimated_ms(job.spec, draft.state.estimates)
     passed = {
-        group: head
-        for group, head in heads.items()
-        if head is not None and ends <= head.start_ms and head.members in draft.heads
+        group: head for group, head in heads.items() if head is not None and ends <= head.start_ms
     }
     # What was tried with the same reservations in force fails again, because room only shrinks.
     attempt = (job.spec.shape, frozenset(heads).difference(passed))
--- a/libs/placement/src/hornbeamfold/placement/queue.py
+++ b/libs/placement/src/hornbeamfold/placement/queue.py
@@ -59,8 +59,8 @@
     if first:
         yield aged[0]
     yield from _by_fair_share(classes[_ENTITLED_URGENT], used, organisations)
-    young = []
-    waited = []
+    young: list[Job] = []
+    waited: list[Job] = []
     for job in classes[_URGENT]:
         (waited if now_ms - job.submitted_ms > URGENT_AGEING_MS else young).append(job)
     yield from sorted(waited, key=_age)
