--- /dev/null
+++ b/libs/bench/tests/test_placement_trial.py
@@ -0,0 +1,31 @@
+"""Tests of the placement trial."""
+
+import unittest
+
+from hornbeamfold.bench.placement_trial import (
+    Trial,
+    baseline_plan,
+    make_stream,
+    quantiles,
+)
+from hornbeamfold.placement import plan
+
+
+class PlacementTrialTest(unittest.TestCase):
+    def test_both_policies_finish_the_same_stream(self):
+        """Guards against figures that leave out jobs which a policy lost or never ran."""
+        stream = make_stream(7)[:120]
+        self.assertEqual(stream, make_stream(7)[:120])
+        for policy in (plan, baseline_plan):
+            result = Trial(policy, stream).run()
+            self.assertEqual((result.unfinished, result.starved), (0, 0))
+            for work in (result.before, result.during, result.after):
+                self.assertLessEqual(work.done, work.allowed + 1e-9)
+
+    def test_quantiles_are_in_seconds(self):
+        """Guards against a unit that differs between figures."""
+        self.assertEqual(quantiles(list(range(0, 100_000, 1_000))).p95, 95.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/placement/src/hornbeamfold/placement/guarantees.py
+++ b/libs/placement/src/hornbeamfold/placement/guarantees.py
@@ -1,10 +1,11 @@
 """Which jobs are entitled, and whether all guarantees fit into the topology together."""
 
 from collections.abc import Collection, Iterable, Mapping, Sequence
+from functools import lru_cache
 from heapq import nsmallest
 
 from hornbeamfold.model import Job, JobState, Organisation, Shape, WorkerCapacity
-from hornbeamfold.placement.blocks import total_index
+from hornbeamfold.placement.blocks import share_of, total_index
 from hornbeamfold.placement.fit import find_place
 
 Key = tuple[str, str]
@@ -36,26 +37,25 @@
     return ""
 
 
+@lru_cache(maxsize=4096)
 def covers(guarantee: Shape, shape: Shape) -> bool:
     """Return whether each place for the guaranteed shape also holds this shape.
 
-    Processors and memory are compared for each accelerator, because the members of a gang get
-    them in proportion. A narrower span than the guaranteed one is not covered.
+    Processors and memory are compared member by member, because the members of a gang get them in
+    proportion. A narrower span than the guaranteed one is not covered.
     """
     if shape.accelerators > guarantee.accelerators or shape.span < guarantee.span:
         return False
-    per = guarantee.accelerators
-    if per == 0:
-        return shape.processors <= guarantee.processors and shape.memory_gb <= guarantee.memory_gb
     if shape.accelerators == 0:
-        return (
-            shape.processors <= -(-guarantee.processors // per)
-            and shape.memory_gb <= -(-guarantee.memory_gb // per)
-        )  # fmt: skip
-    return (
-        shape.processors * per <= guarantee.processors * shape.accelerators
-        and shape.memory_gb * per <= guarantee.memory_gb * shape.accelerators
-    )
+        sizes = range(1 if guarantee.accelerators else 0, 2 if guarantee.accelerators else 1)
+    else:
+        sizes = range(1, shape.accelerators + 1)
+    for size in sizes:
+        processors, memory_gb = share_of(shape, size)
+        room = share_of(guarantee, size)
+        if processors > room[0] or memory_gb > room[1]:
+            return False
+    return True
 
 
 def entitled_keys(
--- a/libs/placement/src/hornbeamfold/placement/queue.py
+++ b/libs/placement/src/hornbeamfold/placement/queue.py
@@ -45,7 +45,7 @@
     entitled: frozenset[Key],
     now_ms: int,
 ) -> Iterator[Job]:
-    """Yield queued jobs in order; each yielded job counts as usage for the rest of its class.
+    """Yield queued jobs in order; each yielded job counts as usage for those after it.
 
     The oldest aged patient job comes first, or right after the urgent jobs if an older one was
     placed a moment ago. The other aged ones come before the younger patient jobs.
@@ -58,14 +58,19 @@
     first = bool(aged) and not _recent_head(aged[0], active, now_ms)
     used = usage(active)
     if first:
+        _count(aged[0], used)
         yield aged[0]
     yield from _by_fair_share(classes[_ENTITLED_URGENT], used, organisations)
     young: list[Job] = []
     waited: list[Job] = []
     for job in classes[_URGENT]:
         (waited if now_ms - job.submitted_ms > URGENT_AGEING_MS else young).append(job)
-    yield from sorted(waited, key=_age)
+    for job in sorted(waited, key=_age):
+        _count(job, used)
+        yield job
     yield from _by_fair_share(young, used, organisations)
+    for job in aged[1:] if first else aged:
+        _count(job, used)
     if aged and not first:
         yield aged[0]
     yield from _by_fair_share(classes[_ENTITLED_PATIENT], used, organisations)
@@ -96,11 +101,15 @@
     """Return what each organisation uses; a task without accelerators counts as one."""
     used: dict[str, int] = {}
     for job in active:
-        name = job.spec.organisation
-        used[name] = used.get(name, 0) + (job.spec.shape.accelerators or 1)
+        _count(job, used)
     return used
 
 
+def _count(job: Job, used: dict[str, int]) -> None:
+    name = job.spec.organisation
+    used[name] = used.get(name, 0) + (job.spec.shape.accelerators or 1)
+
+
 def is_aged(job: Job, now_ms: int) -> bool:
     """Return whether a patient job has waited past its ageing bound."""
     return not job.spec.urgent and now_ms - job.submitted_ms > PATIENT_JOB_AGEING_MS
@@ -123,7 +132,7 @@
         lane = lanes[name]
         job = lane.pop()
         yield job
-        used[name] = used.get(name, 0) + (job.spec.shape.accelerators or 1)
+        _count(job, used)
         if lane:
             heappush(heads, (_share(name, used, organisations), lane[-1].submitted_ms, name))
 
