Leave jobs that go by age out of the fair share

Cause: an aged or long-waiting job that is only looked at counted as usage, and its organisation's other urgent work waited with it. Change: only jobs that are ordered by share count for later ones.

--- a/libs/placement/src/hornbeamfold/placement/queue.py
+++ b/libs/placement/src/hornbeamfold/placement/queue.py
@@ -45,7 +45,10 @@
     entitled: frozenset[Key],
     now_ms: int,
 ) -> Iterator[Job]:
-    """Yield queued jobs in order; each yielded job counts as usage for those after it.
+    """Yield queued jobs in order; those that are ordered by share count as usage for later ones.
+
+    Jobs that go by age do not: most of them only wait, and their organisation's other urgent work
+    would wait with them.
 
     The oldest aged patient job comes first, or right after the urgent jobs if an older one was
     placed a moment ago. The other aged ones come before the younger patient jobs.
@@ -58,7 +61,6 @@
     first = bool(aged) and not _recent_head(aged[0], active, now_ms)
     used = usage(active)
     if first:
-        _count(aged[0], used)
         yield aged[0]
     yield from _by_fair_share(classes[_ENTITLED_URGENT], used, organisations)
     young: list[Job] = []
@@ -66,11 +68,8 @@
     for job in classes[_URGENT]:
         (waited if now_ms - job.submitted_ms > URGENT_AGEING_MS else young).append(job)
     for job in sorted(waited, key=_age):
-        _count(job, used)
         yield job
     yield from _by_fair_share(young, used, organisations)
-    for job in aged[1:] if first else aged:
-        _count(job, used)
     if aged and not first:
         yield aged[0]
     yield from _by_fair_share(classes[_ENTITLED_PATIENT], used, organisations)
