--- a/libs/placement/src/hornbeamfold/placement/draft.py
+++ b/libs/placement/src/hornbeamfold/placement/draft.py
@@ -17,7 +17,7 @@
 from hornbeamfold.placement.blocks import FreeIndex
 from hornbeamfold.placement.fit import Placement, find_place
 from hornbeamfold.placement.guarantees import entitled_active
-from hornbeamfold.placement.tenants import Key, Tenants, find_tenants
+from hornbeamfold.placement.tenants import Key, Tenants
 
 
 @dataclass(frozen=True)
@@ -55,7 +55,6 @@
     placed: list[tuple[Job, tuple[Member, ...]]] = field(default_factory=list)
     placed_keys: set[Key] = field(default_factory=set)
     stopped: set[Key] = field(default_factory=set)
-    heads: list[tuple[Member, ...]] = field(default_factory=list)
     _tenants: Tenants | None = None
     _entitled_active: dict[str, list[Job]] | None = None
 
@@ -63,7 +62,7 @@
     def tenants(self) -> Tenants:
         """The tenants of all workers, found when first needed."""
         if self._tenants is None:
-            self._tenants = find_tenants(self.active, self.state.estimates, self.now_ms)
+            self._tenants = Tenants(self.active, self.state.estimates, self.now_ms)
         return self._tenants
 
     def entitled_active(self) -> dict[str, list[Job]]:
@@ -101,11 +100,6 @@
         )
         self.decisions.append(Decision(event, reason))
 
-    def hold_head(self, members: tuple[Member, ...]) -> None:
-        """Keep a window for a head of the queue."""
-        self.heads.append(members)
-        self.index.hold(members)
-
     def stop(
         self,
         job: Job,
--- a/libs/placement/src/hornbeamfold/placement/plan.py
+++ b/libs/placement/src/hornbeamfold/placement/plan.py
@@ -6,12 +6,12 @@
 from hornbeamfold.model import ACTIVE_JOBS, Job, JobJudged, JobState, Shape, StopReason
 from hornbeamfold.model.timing import PATIENT_JOB_AGEING_MS
 from hornbeamfold.placement.backfill import HeadReservation, reserve_head, reserve_oldest
-from hornbeamfold.placement.blocks import FreeIndex, free_index, total_index
+from hornbeamfold.placement.blocks import free_index
 from hornbeamfold.placement.defragment import worthwhile_moves
 from hornbeamfold.placement.draft import Decision, Draft, PlanningState
 from hornbeamfold.placement.entitled import EntitledPlacer, valid_reservations
 from hornbeamfold.placement.estimates import STOPPING_MS, estimated_ms
-from hornbeamfold.placement.fit import infeasible_reason
+from hornbeamfold.placement.fit import Feasibility
 from hornbeamfold.placement.guarantees import entitled_queue
 from hornbeamfold.placement.queue import is_aged, oldest_aged, ordered
 from hornbeamfold.placement.tenants import Tenant
@@ -56,26 +56,23 @@
     for reservation in draft.reservations.values():
         draft.index.hold(reservation.members)
     draft.entitled = entitled_queue(
-        state.organisations, active, draft.queued, frozenset(draft.reservations)
+        state.organisations, draft.entitled_active(), draft.queued, frozenset(draft.reservations)
     )
     order = ordered(draft.queued, active, state.organisations, draft.entitled, now_ms)
     _place_in_order(draft, order)
     return tuple(draft.decisions)
 
 
+# This memory only saves time: the verdicts depend on nothing but the workers in service.
+_feasibility = Feasibility()
+
+
 def _judge(draft: Draft) -> list[Job]:
     """Judge each queued job and return those that some topology in service can hold."""
-    totals: FreeIndex | None = None
-    verdicts: dict[Shape, str] = {}
+    reason_of = _feasibility.reasons(draft.state.capacities)
     feasible = []
     for job in draft.queued:
-        shape = job.spec.shape
-        verdict = verdicts.get(shape)
-        if verdict is None:
-            if totals is None:
-                totals = total_index(draft.state.capacities.values(), only_eligible=True)
-            verdict = infeasible_reason(shape, totals)
-            verdicts[shape] = verdict
+        verdict = reason_of(job.spec.shape)
         if verdict != job.infeasible:
             event = JobJudged(job.spec.organisation, job.spec.job_id, verdict)
             reason = verdict or "a topology in service can hold the shape again"
@@ -88,19 +85,16 @@
 def _place_in_order(draft: Draft, order: Iterable[Job]) -> None:
     entitled = [job for job in draft.queued if job.key in draft.entitled]
     placer = EntitledPlacer(draft, entitled)
-    # Entitled urgent jobs take their guarantee from whoever has it, so a job placed before them
-    # might be stopped at once.
-    for job in sorted(entitled, key=lambda job: (job.submitted_ms, job.key)):
-        if job.spec.urgent:
-            placer.place(job)
+    # A job placed before an entitled one could be in the window that this one has to reclaim, and
+    # could only be stopped in a later call.
+    for job in sorted(entitled, key=lambda job: (not job.spec.urgent, job.submitted_ms, job.key)):
+        placer.place(job)
     oldest = oldest_aged(draft.queued, draft.entitled, draft.now_ms)
     heads: dict[_Group, HeadReservation | None] = {}
     failed: set[tuple[Shape, frozenset[_Group]]] = set()
     looked = 0
     for job in order:
         if job.key in draft.entitled:
-            if not job.spec.urgent:
-                placer.place(job)
             continue
         looked += 1
         if looked > LOOKED_AT or len(draft.placed) >= PLACEMENTS_PER_PLAN:
@@ -115,7 +109,7 @@
         head = _reserve(draft, job, group)
         heads[group] = head
         if head is not None:
-            draft.hold_head(head.members)
+            draft.index.hold(head.members)
 
 
 def _reserve(draft: Draft, job: Job, group: _Group) -> HeadReservation | None:
@@ -161,9 +155,7 @@
     """Place a job outside the reservations, or inside those before whose start it ends."""
     ends = draft.now_ms + estimated_ms(job.spec, draft.state.estimates)
     passed = {
-        group: head
-        for group, head in heads.items()
-        if head is not None and ends <= head.start_ms and head.members in draft.heads
+        group: head for group, head in heads.items() if head is not None and ends <= head.start_ms
     }
     # What was tried with the same reservations in force fails again, because room only shrinks.
     attempt = (job.spec.shape, frozenset(heads).difference(passed))
--- a/libs/placement/src/hornbeamfold/placement/queue.py
+++ b/libs/placement/src/hornbeamfold/placement/queue.py
@@ -5,7 +5,7 @@
 
 from hornbeamfold.model import ACTIVE_JOBS, Job, JobState, Organisation
 from hornbeamfold.model.timing import PATIENT_JOB_AGEING_MS
-from hornbeamfold.placement.guarantees import Key, entitled_queue
+from hornbeamfold.placement.guarantees import Key, entitled_active, entitled_queue
 
 # Urgent jobs that waited longer go by age. By share alone the reservation would change hands with
 # each start, and a large urgent job would lose its window again and again.
@@ -33,7 +33,8 @@
             queued.append(job)
         elif job.state in ACTIVE_JOBS:
             active.append(job)
-    entitled = entitled_queue(organisations, active, queued)
+    holders = entitled_active(organisations, active)
+    entitled = entitled_queue(organisations, holders, queued)
     return tuple(ordered(queued, active, organisations, entitled, now_ms))
 
 
@@ -44,7 +45,10 @@
     entitled: frozenset[Key],
     now_ms: int,
 ) -> Iterator[Job]:
-    """Yield queued jobs in order; each yielded job counts as usage for the rest of its class.
+    """Yield queued jobs in order; those that are ordered by share count as usage for later ones.
+
+    Jobs that go by age do not: most of them only wait, and their organisation's other urgent work
+    would wait with them.
 
     The oldest aged patient job comes first, or right after the urgent jobs if an older one was
     placed a moment ago. The other aged ones come before the younger patient jobs.
@@ -63,7 +67,8 @@
     waited: list[Job] = []
     for job in classes[_URGENT]:
         (waited if now_ms - job.submitted_ms > URGENT_AGEING_MS else young).append(job)
-    yield from sorted(waited, key=_age)
+    for job in sorted(waited, key=_age):
+        yield job
     yield from _by_fair_share(young, used, organisations)
     if aged and not first:
         yield aged[0]
@@ -95,11 +100,15 @@
     """Return what each organisation uses; a task without accelerators counts as one."""
     used: dict[str, int] = {}
     for job in active:
-        name = job.spec.organisation
-        used[name] = used.get(name, 0) + (job.spec.shape.accelerators or 1)
+        _count(job, used)
     return used
 
 
+def _count(job: Job, used: dict[str, int]) -> None:
+    name = job.spec.organisation
+    used[name] = used.get(name, 0) + (job.spec.shape.accelerators or 1)
+
+
 def is_aged(job: Job, now_ms: int) -> bool:
     """Return whether a patient job has waited past its ageing bound."""
     return not job.spec.urgent and now_ms - job.submitted_ms > PATIENT_JOB_AGEING_MS
@@ -122,7 +131,7 @@
         lane = lanes[name]
         job = lane.pop()
         yield job
-        used[name] = used.get(name, 0) + (job.spec.shape.accelerators or 1)
+        _count(job, used)
         if lane:
             heappush(heads, (_share(name, used, organisations), lane[-1].submitted_ms, name))
 
