--- /dev/null
+++ b/libs/bench/src/hornbeamfold/bench/fitting.py
@@ -0,0 +1,92 @@
+"""Fits a line through measured points and reads and writes them as CSV."""
+
+from collections.abc import Callable, Iterable
+from csv import DictReader, DictWriter
+from dataclasses import asdict, dataclass
+from io import StringIO
+from statistics import median
+from time import process_time
+
+REPEATS = 3
+
+
+@dataclass(frozen=True)
+class Point:
+    """One value of a measure at a size; `repeat` counts the runs at that size."""
+
+    measure: str
+    unit: str
+    size: float
+    repeat: int
+    value: float
+
+
+@dataclass(frozen=True)
+class Line:
+    """A line through the medians; `least` and `most` are the slopes of single repeats."""
+
+    slope: float
+    intercept: float
+    least: float
+    most: float
+
+
+def fit_line(points: Iterable[Point]) -> Line:
+    """Return the line through the median at each size, with the spread over the repeats."""
+    kept = list(points)
+    sizes = sorted({point.size for point in kept})
+    middle = [median(point.value for point in kept if point.size == size) for size in sizes]
+    slope, intercept = least_squares(sizes, middle)
+    slopes: list[float] = []
+    for repeat in sorted({point.repeat for point in kept}):
+        mine = [point for point in kept if point.repeat == repeat]
+        if {point.size for point in mine} != set(sizes):
+            continue
+        slopes.append(least_squares([p.size for p in mine], [p.value for p in mine])[0])
+    return Line(slope, intercept, min(slopes, default=slope), max(slopes, default=slope))
+
+
+def least_squares(sizes: list[float], values: list[float]) -> tuple[float, float]:
+    """Return slope and intercept; a single size gives a line through the origin."""
+    if len(sizes) != len(values) or not sizes:
+        raise ValueError("a line needs as many values as sizes, and at least one")
+    mean_size = sum(sizes) / len(sizes)
+    mean_value = sum(values) / len(values)
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    if spread == 0:
+        return (mean_value / mean_size if mean_size else 0.0), 0.0
+    pairs = zip(sizes, values, strict=True)
+    slope = sum((size - mean_size) * (value - mean_value) for size, value in pairs) / spread
+    return slope, mean_value - slope * mean_size
+
+
+def processor_ms(call: Callable[[], object], times: int = 1) -> float:
+    """Return the processor time of this process for one call, as the mean of some calls."""
+    started = process_time()
+    for _ in range(times):
+        call()
+    return (process_time() - started) * 1_000 / times
+
+
+def write_csv(points: Iterable[Point]) -> str:
+    """Return the points as CSV with a header."""
+    text = StringIO()
+    writer = DictWriter(text, list(Point.__dataclass_fields__), lineterminator="\n")
+    writer.writeheader()
+    for point in points:
+        writer.writerow(asdict(point) | {"value": f"{point.value:.6g}", "size": f"{point.size:g}"})
+    return text.getvalue()
+
+
+def read_csv(text: str) -> list[Point]:
+    """Return the points of a CSV text."""
+    return [
+        Point(
+            row["measure"],
+            row["unit"],
+            float(row["size"]),
+            int(row["repeat"]),
+            float(row["value"]),
+        )
+        for row in DictReader(StringIO(text))
+    ]
