Search the list for leaving workers once a reading

Each exchange with a worker searched the whole list of instances for leaving workers. At 1,909 listed instances that took 0.24 ms of processor time of each exchange, and 105 exchanges a second are due at 211 kept workers.

The peer table now keeps the leaving workers of the last reading. The same question takes 0.0014 ms at every size (make slopes, part exchange, run before and after; the other slopes of that part moved by up to 25% with the load of the shared machine).

--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -112,13 +112,6 @@
     )
     ages = JobAges(clock)
 
-    def listed_leaving() -> frozenset[str]:
-        return frozenset(
-            name
-            for name, instance in peers.listed.items()
-            if instance.role == "worker" and instance.state == "leaving"
-        )
-
     keepers = Keepers(
         settings.name,
         follower,
@@ -131,11 +124,11 @@
         wall,
         settings.sync_interval_ms,
         dispatcher.worker_reported,
-        listed_leaving,
+        lambda: peers.leaving_workers,
     )
 
     def leaving_workers() -> frozenset[str]:
-        return keepers.leaving_workers | listed_leaving()
+        return keepers.leaving_workers | peers.leaving_workers
 
     def confirm(since_ms: int, timeout_ms: int) -> bool:
         return follower.confirm(client.read, since_ms, timeout_ms)
--- a/libs/membership/src/hornbeamfold/membership/peers.py
+++ b/libs/membership/src/hornbeamfold/membership/peers.py
@@ -40,6 +40,7 @@
         self._region = region
         self._peers: dict[str, PeerState] = {}
         self._listed: dict[str, ListedInstance] = {}
+        self._listed_leaving: frozenset[str] = frozenset()
         self._list_read_ms: int | None = None
         self._sent: dict[int, int] = {}
         self._seq = 0
@@ -50,6 +51,11 @@
         """All instances of the last list reading, by name."""
         return self._listed
 
+    @property
+    def leaving_workers(self) -> frozenset[str]:
+        """The workers that the last list reading says are leaving."""
+        return self._listed_leaving
+
     @property
     def list_read(self) -> bool:
         """Whether the list was ever read."""
@@ -85,6 +91,12 @@
     def set_list(self, instances: Iterable[ListedInstance], now_ms: int) -> None:
         """Take in a reading of the instance list."""
         self._listed = {instance.name: instance for instance in instances}
+        # Every exchange with a worker asks for these, so the list is searched once a reading.
+        self._listed_leaving = frozenset(
+            name
+            for name, instance in self._listed.items()
+            if instance.role == "worker" and instance.state == "leaving"
+        )
         self._list_read_ms = now_ms
         for name in list(self._peers):
             if name in self._listed or now_ms - self._peers[name].received_ms <= KNOWN_MS:
--- a/libs/membership/tests/test_peers.py
+++ b/libs/membership/tests/test_peers.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from mixins import PeerMixin
 
-from hornbeamfold.membership import keeper_of, rank_names
+from hornbeamfold.membership import ListedInstance, keeper_of, rank_names
 from hornbeamfold.model.timing import KNOWN_MS, SUSPECT_MS
 
 NAMES = st.sets(st.text("abcdefgh", min_size=1, max_size=3), min_size=2, max_size=9)
@@ -63,3 +63,18 @@
         table.set_leaving()
         self.assertEqual(table.rank("key", 0), 1)
         self.assertFalse(table.is_keeper("w", "east", 0))
+
+    def test_leaving_workers_follow_each_reading_of_the_list(self) -> None:
+        """Guards against new work on a worker that leaves, or none after it came back."""
+        table = self.table("b")
+        self.assertEqual(table.leaving_workers, frozenset())
+        for state, expected in (("leaving", {"w1"}), ("live", set())):
+            table.set_list(
+                [
+                    ListedInstance("b", "entry", "", "", "leaving"),
+                    ListedInstance("w1", "worker", "", "", state),
+                    ListedInstance("w2", "worker", "", "", "live"),
+                ],
+                1,
+            )
+            self.assertEqual(table.leaving_workers, expected)
