Keep the routing candidates over records that change no capacity

The candidates were made anew at each log offset: 7 ms of processor time at 1,900 workers. Each non-idempotent request writes two claim records, and each instance folds the claims of all.

Only events that can change a capacity now make them anew.

--- a/libs/daemon/src/hornbeamfold/daemon/dispatch.py
+++ b/libs/daemon/src/hornbeamfold/daemon/dispatch.py
@@ -12,7 +12,18 @@
 from hornbeamfold.daemon.keeper import JOB_TASK_PREFIX
 from hornbeamfold.membership import PeerTable, rank_names
 from hornbeamfold.model.errors import ErrorKind, Refused
-from hornbeamfold.model.events import Applied, Entry, MembersReported
+from hornbeamfold.model.events import (
+    Applied,
+    ClaimDone,
+    ClaimMade,
+    ClaimMoved,
+    ClaimReleased,
+    Entry,
+    JobJudged,
+    JobSubmitted,
+    MembersReported,
+    SnapshotPart,
+)
 from hornbeamfold.model.status import PeerHeartbeat
 from hornbeamfold.model.topology import Worker
 from hornbeamfold.model.work import MemberState, Request
@@ -51,6 +62,17 @@
 # Each worker is in the own subset of this many instances.
 SUBSET_OWNERS = 3
 
+# These events are frequent and change nothing that the candidates are made of.
+WITHOUT_CAPACITY = (
+    ClaimDone,
+    ClaimMade,
+    ClaimMoved,
+    ClaimReleased,
+    JobJudged,
+    JobSubmitted,
+    SnapshotPart,
+)
+
 count_dispatches = counter("hornbeamfold_dispatches", "Requests sent to workers by outcome")
 count_cross_region = counter("hornbeamfold_cross_region_bytes", "Bytes sent to other regions")
 
@@ -128,6 +150,8 @@
         self._own: frozenset[str] = frozenset()
         self._basis: tuple[object, ...] = ()
         self._candidates = Candidates((), ())
+        self._basis_view = follower.view
+        self._capacity_changes = 0
         gauge("hornbeamfold_queued_requests", "Requests waiting here", lambda: len(self._queue))
 
     @property
@@ -166,14 +190,17 @@
             self._router.reported(worker, capacity.free_slots, reply.free_slots, self._clock())
 
     def folded(self, entry: Entry, applied: tuple[Applied, ...]) -> None:
-        """Learn from the members of jobs which workers fail everything they start.
+        """Note changes of capacities, and learn which workers fail everything they start.
 
         All instances fold the same reports, so that all set the same workers aside.
         """
         del entry
         now = self._clock()
         for verdict in applied:
-            if not verdict.accepted or not isinstance(verdict.event, MembersReported):
+            if not verdict.accepted or isinstance(verdict.event, WITHOUT_CAPACITY):
+                continue
+            self._capacity_changes += 1
+            if not isinstance(verdict.event, MembersReported):
                 continue
             for report in verdict.event.reports:
                 key = (report.organisation, f"{JOB_TASK_PREFIX}{report.job_id}")
@@ -369,9 +396,11 @@
         if owners != self._owners:
             self._owners = owners
             self._own = self._own_subset([name for name, _ in live] or [self._name])
-        basis = (owners, view.offset, self._leaving)
-        if basis != self._basis:
+        basis = (owners, self._capacity_changes, self._leaving)
+        # A loaded snapshot brings another view without events.
+        if basis != self._basis or view is not self._basis_view:
             self._basis = basis
+            self._basis_view = view
             self._candidates = make_candidates(view.capacities.values(), self._own, self._leaving)
         return self._candidates
 
