--- a/libs/bench/src/hornbeamfold/bench/scale.py
+++ b/libs/bench/src/hornbeamfold/bench/scale.py
@@ -66,9 +66,13 @@
     def fold_record(
         self, events: tuple[Event, ...], writer: str = "entry-0"
     ) -> tuple[Applied, ...]:
-        """Fold one record, encoded and decoded as on its way through the log."""
+        """Fold one record."""
+        return self._view.apply(self.entry(events, writer))
+
+    def entry(self, events: tuple[Event, ...], writer: str = "entry-0") -> Entry:
+        """Return the next entry, encoded and decoded as on its way through the log."""
         record = decode_record(encode_record(Record(writer, next(self._seq), events)))
-        return self._view.apply(Entry(self._view.offset, AT_MS, record))
+        return Entry(self._view.offset, AT_MS, record)
 
     def run(self, specs: Iterable[JobSpec]) -> None:
         """Submit, place and start jobs; each member goes to the next worker with room."""
--- a/libs/bench/src/hornbeamfold/bench/slopes.py
+++ b/libs/bench/src/hornbeamfold/bench/slopes.py
@@ -27,6 +27,8 @@
         from hornbeamfold.bench.slopes_decide import decide_points as points
     elif part == "exchange":
         from hornbeamfold.bench.slopes_exchange import exchange_points as points
+    elif part == "keepers":
+        from hornbeamfold.bench.slopes_keepers import keeper_points as points
     elif part == "fleet":
         from hornbeamfold.bench.slopes_fleet import fleet_points as points
     else:
@@ -35,7 +37,7 @@
     return found()
 
 
-PARTS = ("state", "decide", "exchange", "fleet")
+PARTS = ("state", "decide", "exchange", "keepers", "fleet")
 
 
 def measure_part(part: str) -> list[Point]:
