Keep a report in the writer's queue once while the log is down

A keeper wrote a report again every 5 s until it was folded, also while the writer still held it: 720 copies of each report after an outage of an hour.

A report that was folded without effect is repeated after 5 s as before.

--- a/libs/daemon/src/hornbeamfold/daemon/keepers.py
+++ b/libs/daemon/src/hornbeamfold/daemon/keepers.py
@@ -1,6 +1,7 @@
 """One green thread for each kept worker; the set follows the ranking of live instances."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 import eventlet
 
@@ -15,7 +16,7 @@
     read_reply,
     routine_sync_ms,
 )
-from hornbeamfold.logclient import LogWriter, Signal
+from hornbeamfold.logclient import LogWriter, Signal, Ticket
 from hornbeamfold.membership import Freshness, PeerTable, Permit
 from hornbeamfold.model.events import (
     Applied,
@@ -46,6 +47,9 @@
 SOON_MS = 150
 # A report that was not folded in this time is written again.
 REPORT_AGAIN_MS = 5_000
+# The writer keeps a report through an outage of the log. It is written again only in case the
+# writer cannot learn of the fold, for instance because a snapshot was loaded.
+PENDING_AGAIN_MS = 60_000
 RECONCILE_MS = 500
 
 logger = get_logger("hornbeamfold.daemon.keepers")
@@ -275,20 +279,24 @@
     def _report(self, session: "_Session", reports: Iterable[MemberReport]) -> None:
         now = self._clock()
         fresh: list[MemberReport] = []
+        marks: list[tuple[str, MemberState]] = []
         for report in reports:
             mark = (
                 task_id((report.organisation, report.job_id), report.attempt, report.worker),
                 report.state,
             )
-            if now - session.written.get(mark, -REPORT_AGAIN_MS) < REPORT_AGAIN_MS:
+            written = session.written.get(mark)
+            if written is not None and now - written.at_ms < written.again_after_ms:
                 continue
-            session.written[mark] = now
+            marks.append(mark)
             fresh.append(report)
-        for mark, written_ms in list(session.written.items()):
-            if now - written_ms > 10 * REPORT_AGAIN_MS:
+        for mark, written in list(session.written.items()):
+            if now - written.at_ms > 10 * PENDING_AGAIN_MS:
                 del session.written[mark]
-        if fresh:
-            self._writer.submit((MembersReported(tuple(fresh)),))
+        if not fresh:
+            return
+        ticket = self._writer.submit((MembersReported(tuple(fresh)),))
+        session.written.update(dict.fromkeys(marks, _Written(now, ticket)))
 
     def _next_sync_ms(self, members: Iterable[MemberHere]) -> int:
         """Return when the leases on the worker are to be renewed next."""
@@ -357,6 +365,19 @@
         self._report(session, reports)
 
 
+@dataclass(frozen=True)
+class _Written:
+    """When a report was given to the writer, and what became of it."""
+
+    at_ms: int
+    ticket: Ticket
+
+    @property
+    def again_after_ms(self) -> int:
+        """How long to wait before the report is written again."""
+        return REPORT_AGAIN_MS if self.ticket.done else PENDING_AGAIN_MS
+
+
 class _Wakeup:
     """Wakes one keeper, also if it is in the middle of an exchange."""
 
@@ -389,5 +410,5 @@
         self.answered_ms = now_ms
         self.reported: dict[str, TaskReport] = {}
         self.result = SyncResult()
-        self.written: dict[tuple[str, MemberState], int] = {}
+        self.written: dict[tuple[str, MemberState], _Written] = {}
         self.stopped: set[tuple[tuple[str, str], int]] = set()
