--- a/libs/bench/src/hornbeamfold/bench/slopes_exchange.py
+++ b/libs/bench/src/hornbeamfold/bench/slopes_exchange.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Iterator
 from dataclasses import replace
+from functools import partial
 from json import dumps
 from time import process_time
 
@@ -31,6 +32,7 @@
     Worker,
     task_id,
 )
+from hornbeamfold.model.status import PeerHeartbeat  # noqa: E402
 from hornbeamfold.rpc.peer_adapters import write_heartbeat  # noqa: E402
 from hornbeamfold.rpc.peers import PeerConnection  # noqa: E402
 from hornbeamfold.rpc.server import serve  # noqa: E402
@@ -97,9 +99,7 @@
                 yield Point(
                     "heartbeat message per busy worker", "bytes", size, repeat, len(encoded)
                 )
-                cost = processor_ms(
-                    lambda message=message: write_heartbeat(message).SerializeToString(), EXCHANGES
-                )
+                cost = processor_ms(partial(_encode, message), EXCHANGES)
                 yield Point("heartbeat encode per busy worker", "ms", size, repeat, cost)
                 before = processor_s(peer.pid), traffic(os.getpid(), port)
                 started = process_time()
@@ -126,6 +126,10 @@
             peer.stdout.close()
 
 
+def _encode(heartbeat: PeerHeartbeat) -> bytes:
+    return write_heartbeat(heartbeat).SerializeToString()
+
+
 def _list_points() -> Iterator[Point]:
     standin = StandIn("instances")
     try:
@@ -160,12 +164,12 @@
             for repeat in range(REPEATS):
                 data = dumps({"writer": "e", "seq": 1, "events": [], "x": "y" * size})
                 before = traffic(os.getpid(), port)
-                cost = processor_ms(lambda data=data: client.append(data), 100)
+                cost = processor_ms(partial(client.append, data), 100)
                 middle = traffic(os.getpid(), port)
                 both = (middle.sent + middle.received - before.sent - before.received) / 100
                 yield Point("log append per byte of a record", "ms", size, repeat, cost)
                 yield Point("log append traffic per byte of a record", "bytes", size, repeat, both)
-                cost = processor_ms(lambda start=offset: client.read(start, 100, 0)) / 100
+                cost = processor_ms(partial(client.read, offset, 100, 0)) / 100
                 after = traffic(os.getpid(), port)
                 received = (after.received - middle.received) / 100
                 yield Point("log read per byte of a record", "ms", size, repeat, cost)
@@ -173,7 +177,7 @@
                 offset += 100
         for repeat in range(REPEATS):
             before = traffic(os.getpid(), port)
-            cost = processor_ms(lambda start=offset: client.read(start, 100, 0), 100)
+            cost = processor_ms(partial(client.read, offset, 100, 0), 100)
             after = traffic(os.getpid(), port)
             both = (after.sent + after.received - before.sent - before.received) / 100
             yield Point("empty log read", "ms", 1, repeat, cost)
@@ -212,7 +216,7 @@
             assert isinstance(reply, SyncReply) and len(reply.tasks) == size, reply
             for repeat in range(REPEATS):
                 before = traffic(os.getpid(), port)
-                cost = processor_ms(lambda r=request: client.sync(worker, r, CALL_MS), EXCHANGES)
+                cost = processor_ms(partial(client.sync, worker, request, CALL_MS), EXCHANGES)
                 after = traffic(os.getpid(), port)
                 sent = (after.sent - before.sent) / EXCHANGES
                 received = (after.received - before.received) / EXCHANGES
--- a/libs/bench/src/hornbeamfold/bench/slopes_state.py
+++ b/libs/bench/src/hornbeamfold/bench/slopes_state.py
@@ -4,6 +4,8 @@
 import tracemalloc
 from collections.abc import Callable, Iterator
 from dataclasses import replace
+from functools import partial
+from typing import Any
 
 from hornbeamfold.bench.fitting import REPEATS, Point, processor_ms
 from hornbeamfold.bench.scale import (
@@ -22,6 +24,7 @@
 from hornbeamfold.logclient import decode_record, encode_record
 from hornbeamfold.model import (
     Entry,
+    Event,
     JobSubmitted,
     MemberReport,
     MembersReported,
@@ -122,9 +125,9 @@
             ]
             texts = [encode_record(record) for record in records]
             yield Point("record bytes per member report", "bytes", size, repeat, len(texts[0]))
-            encode_ms = processor_ms(lambda records=records: [*map(encode_record, records)]) / 30
+            encode_ms = processor_ms(partial(_each, encode_record, records)) / 30
             yield Point("record encode per member report", "ms", size, repeat, encode_ms)
-            decode_ms = processor_ms(lambda texts=texts: [*map(decode_record, texts)]) / 30
+            decode_ms = processor_ms(partial(_each, decode_record, texts)) / 30
             yield Point("record decode per member report", "ms", size, repeat, decode_ms)
 
             def fold(cluster: Cluster = cluster, records: list[Record] = records) -> None:
@@ -151,7 +154,11 @@
             for state in (MemberState.RUNNING, MemberState.FINISHED)
             for m in placed.members
         ]
-        events = [JobSubmitted(spec), placed, *(MembersReported((one,)) for one in reports)]
+        events: list[Event] = [
+            JobSubmitted(spec),
+            placed,
+            *(MembersReported((one,)) for one in reports),
+        ]
         texts = [
             encode_record(Record("entry-0-0123456789ab", 10_000 + number, (event,)))
             for number, event in enumerate(events)
@@ -170,6 +177,11 @@
         )
 
 
+def _each(function: Callable[[Any], object], items: list[Any]) -> None:
+    for item in items:
+        function(item)
+
+
 def _change_points() -> Iterator[Point]:
     """Yield the fold time of one change of an organisation, with the check of all guarantees."""
     for workers in (475, 950, 1_900):
@@ -177,15 +189,15 @@
         view = View(guarantees_fit, source.view.state)
         for repeat in range(REPEATS):
             known = view.organisations["organisation-00"]
-            guarantee = (Shape(4, 4, 4, Span.RACK), Shape(2, 2, 2 + repeat, Span.RACK))
+            guarantee = (Shape(4, 4, 4, Span.RACK), Shape(2, 2, 3 + repeat, Span.RACK))
             event = OrganisationPut(known.name, guarantee, 1.0 + repeat, known.version)
             entry = Entry(view.offset, AT_MS, Record("operator", 2 * repeat + 1, (event,)))
-            cost = processor_ms(lambda view=view, entry=entry: view.apply(entry))
+            cost = processor_ms(partial(view.apply, entry))
             yield Point("organisation change fold per worker", "ms", workers, repeat, cost)
             zone = view.zones["zone-00"]
             change = ZoneSet(zone.name, zone.region, not zone.in_service, zone.version)
             entry = Entry(view.offset, AT_MS, Record("operator", 2 * repeat + 2, (change,)))
-            cost = processor_ms(lambda view=view, entry=entry: view.apply(entry))
+            cost = processor_ms(partial(view.apply, entry))
             yield Point("zone change fold per worker", "ms", workers, repeat, cost)
         if view.configuration_offset != view.offset - 1:
             raise RuntimeError("the changes of configuration were rejected")
@@ -211,7 +223,7 @@
             yield Point("snapshot state per task", "bytes", tasks, repeat, float(len(encoded)))
             yield Point("snapshot records per task", "bytes", tasks, repeat, size)
             yield Point("snapshot parts per task", "count", tasks, repeat, len(parts))
-            write_ms = processor_ms(lambda cluster=cluster: snapshot_parts(cluster.view))
+            write_ms = processor_ms(partial(snapshot_parts, cluster.view))
             yield Point("snapshot write per task", "ms", tasks, repeat, write_ms)
 
             def restore(parts=parts) -> None:  # type: ignore[no-untyped-def]
