--- a/libs/bench/src/hornbeamfold/bench/fleet.py
+++ b/libs/bench/src/hornbeamfold/bench/fleet.py
@@ -70,6 +70,11 @@
         """Return all that the process wrote."""
         return self._log_path.read_text(errors="replace")
 
+    def all_logs(self) -> str:
+        """Return all that this and the earlier processes of the instance wrote."""
+        paths = [*sorted(self._folder.glob(f"{self._name}.*.log")), self._log_path]
+        return "".join(path.read_text(errors="replace") for path in paths)
+
     def wait_serving(self) -> None:
         """Wait until the process has said where it serves."""
         deadline = time.monotonic() + START_BOUND_S
@@ -116,7 +121,7 @@
 
     def restart(self) -> None:
         """Start the ended process again with the same settings."""
-        self._log_path.rename(self._log_path.with_suffix(f".{int(time.time() * 1000)}"))
+        self._log_path.rename(self._folder / f"{self._name}.{int(time.time() * 1000)}.log")
         self._start()
 
     def _start(self) -> None:
@@ -234,7 +239,7 @@
         """Return the log lines about violated invariants and unexpected faults."""
         found: list[str] = []
         for daemon in self._daemons.values():
-            for line in daemon.raw_log().splitlines():
+            for line in daemon.all_logs().splitlines():
                 if '"ERROR"' in line or '"CRITICAL"' in line or "Traceback" in line:
                     found.append(f"{daemon.name}: {line[:600]}")
         return found
