Announce the address that the server listens on

Cause: an instance announced rpc_address as configured. With port 0 no peer could connect, so no instance of a fleet ever heard another: ranks, keepers, relays and suspicion were not exercised. Change: the address in the list, in heartbeats and in ListInstances is that of the bound socket.

--- a/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
+++ b/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
@@ -20,6 +20,7 @@
     follower: LogFollower,
     dispatcher: Dispatcher,
     unavailable: Callable[[], frozenset[str]],
+    address: Callable[[], str],
     leaving: Callable[[], bool],
     clock: Clock,
 ) -> HeartbeatSource:
@@ -31,7 +32,7 @@
             seq=seq,
             name=settings.name,
             incarnation=incarnation,
-            address=settings.rpc_address,
+            address=address(),
             availability_zone=settings.availability_zone,
             region=settings.region,
             leaving=leaving(),
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -64,16 +64,26 @@
 
 
 class Lifecycle:
-    """Whether the instance is starting, serving or draining."""
+    """Whether the instance is starting, serving or draining, and where it serves."""
 
     def __init__(self) -> None:
         self._draining = False
+        self._address = ""
 
     @property
     def draining(self) -> bool:
         """Whether the instance takes no new work."""
         return self._draining
 
+    @property
+    def address(self) -> str:
+        """The address that peers and callers can reach, empty before the server listens."""
+        return self._address
+
+    def serve_at(self, address: str) -> None:
+        """Note the address that the server listens on, with the port that the system chose."""
+        self._address = address
+
     def drain(self) -> None:
         """Take no new work from now on."""
         self._draining = True
@@ -181,9 +191,11 @@
             follower,
             dispatcher,
             own_unavailable,
+            lambda: lifecycle.address,
             lambda: lifecycle.draining,
             clock,
         ),
+        lambda: lifecycle.address,
     )
     requests = RequestService(
         incarnation,
@@ -198,7 +210,9 @@
         lambda: lifecycle.draining,
     )
     jobs = JobService(follower, writer, wall, lambda: lifecycle.draining)
-    operators = OperatorService(settings, follower, writer, peers, freshness, clock)
+    operators = OperatorService(
+        settings, lambda: lifecycle.address, follower, writer, peers, freshness, clock
+    )
     placer = Placer(
         follower, writer, peers, freshness, ages, clock, wall, unavailable, leaving_workers
     )
@@ -286,6 +300,7 @@
     """Start the green threads and the server; return the server's handle."""
     handlers = build_services(parts.frontend, parts.peer_frontend)
     server = serve(settings.rpc_address, handlers)
+    lifecycle.serve_at(server.address)
     eventlet.spawn(parts.writer.run)
     eventlet.spawn(follow_log, parts, monotonic_ms, settings.bootstrap)
     parts.peering.start()
--- a/libs/daemon/src/hornbeamfold/daemon/operators.py
+++ b/libs/daemon/src/hornbeamfold/daemon/operators.py
@@ -1,5 +1,7 @@
 """Configuration changes and views for operators."""
 
+from collections.abc import Callable
+
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower
 from hornbeamfold.daemon.writes import rejection, write_event
@@ -29,6 +31,7 @@
     def __init__(
         self,
         settings: Settings,
+        address: Callable[[], str],
         follower: LogFollower,
         writer: LogWriter,
         peers: PeerTable,
@@ -36,6 +39,7 @@
         clock: Clock,
     ) -> None:
         self._settings = settings
+        self._address = address
         self._follower = follower
         self._writer = writer
         self._peers = peers
@@ -110,7 +114,7 @@
         listed = [
             InstanceStatus(
                 self._settings.name,
-                self._settings.rpc_address,
+                self._address(),
                 self._settings.availability_zone,
                 "self",
                 view.offset,
--- a/libs/daemon/src/hornbeamfold/daemon/peering.py
+++ b/libs/daemon/src/hornbeamfold/daemon/peering.py
@@ -44,8 +44,10 @@
         list_client: ListClient,
         clock: Clock,
         heartbeat: HeartbeatSource,
+        address: Callable[[], str],
     ) -> None:
         self._settings = settings
+        self._address = address
         self._peers = peers
         self._freshness = freshness
         self._follower = follower
@@ -102,7 +104,7 @@
         return ListedInstance(
             self._settings.name,
             "entry",
-            self._settings.rpc_address,
+            self._address(),
             self._settings.availability_zone,
             self._state,
         )
