--- a/libs/bench/src/hornbeamfold/bench/fault_steps.py
+++ b/libs/bench/src/hornbeamfold/bench/fault_steps.py
@@ -219,6 +219,7 @@
     start = await scene.started(request.request_id)
     scene.workers.update((start["worker"], status.job.members[0].member.worker))
     daemon = scene.daemon
+    scene.draining = True
     began = time.monotonic()
     daemon.ask_to_stop()
     await asyncio.sleep(HOLD_S)
--- a/libs/bench/src/hornbeamfold/bench/fault_table.py
+++ b/libs/bench/src/hornbeamfold/bench/fault_table.py
@@ -96,6 +96,8 @@
 async def stale_list(scene: Scene) -> None:
     """Show the list of this moment while the victim ends and comes back at another address."""
     await set_faults(scene.fleet.instance_list, stale_reads=True)
+    if scene.draining:
+        return
     await kill(scene)
     await restart(scene)
 
@@ -258,7 +260,7 @@
         log_fault(duplicate_appends=20, duplicate_after_ms=1_500),
         nothing,
     ),
-    Fault("list stale", 4.0, stale_list, nothing, kills=True),
+    Fault("list stale", 4.0, stale_list, nothing),
     Fault(
         "worker dead",
         LAPSE_S,
