--- a/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
+++ b/libs/daemon/src/hornbeamfold/daemon/heartbeat.py
@@ -15,12 +15,12 @@
 def heartbeat_source(
     settings: Settings,
     incarnation: str,
+    address: Callable[[], str],
     peers: PeerTable,
     freshness: Freshness,
     follower: LogFollower,
     dispatcher: Dispatcher,
     unavailable: Callable[[], frozenset[str]],
-    address: Callable[[], str],
     leaving: Callable[[], bool],
     clock: Clock,
 ) -> HeartbeatSource:
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -64,26 +64,16 @@
 
 
 class Lifecycle:
-    """Whether the instance is starting, serving or draining, and where it serves."""
+    """Whether the instance is starting, serving or draining."""
 
     def __init__(self) -> None:
         self._draining = False
-        self._address = ""
 
     @property
     def draining(self) -> bool:
         """Whether the instance takes no new work."""
         return self._draining
 
-    @property
-    def address(self) -> str:
-        """The address that peers and callers can reach, empty before the server listens."""
-        return self._address
-
-    def serve_at(self, address: str) -> None:
-        """Note the address that the server listens on, with the port that the system chose."""
-        self._address = address
-
     def drain(self) -> None:
         """Take no new work from now on."""
         self._draining = True
@@ -98,7 +88,7 @@
     """Create all parts of an instance; nothing runs yet."""
     incarnation = f"{settings.name}-{uuid4().hex[:12]}"
     peers = PeerTable(settings.name, settings.region)
-    freshness = Freshness(peers, settings.region, clock())
+    freshness = Freshness(peers, settings.region)
     client = LogClient(settings.log_url, clock, settings.name, settings.availability_zone)
     writer = LogWriter(incarnation, client.append, clock)
     follower = LogFollower(guarantees_fit, writer, freshness, clock)
@@ -186,16 +176,15 @@
         heartbeat_source(
             settings,
             incarnation,
+            lambda: peering.address,
             peers,
             freshness,
             follower,
             dispatcher,
             own_unavailable,
-            lambda: lifecycle.address,
             lambda: lifecycle.draining,
             clock,
         ),
-        lambda: lifecycle.address,
     )
     requests = RequestService(
         incarnation,
@@ -205,13 +194,14 @@
         dispatcher,
         claims,
         peering.find_answer,
+        peering.cancel_waiting,
         clock,
         wall,
         lambda: lifecycle.draining,
     )
-    jobs = JobService(follower, writer, wall, lambda: lifecycle.draining)
+    jobs = JobService(follower, writer, confirm, clock, wall, lambda: lifecycle.draining)
     operators = OperatorService(
-        settings, lambda: lifecycle.address, follower, writer, peers, freshness, clock
+        settings, lambda: peering.address, follower, writer, peers, freshness, clock
     )
     placer = Placer(
         follower, writer, peers, freshness, ages, clock, wall, unavailable, leaving_workers
@@ -300,10 +290,9 @@
     """Start the green threads and the server; return the server's handle."""
     handlers = build_services(parts.frontend, parts.peer_frontend)
     server = serve(settings.rpc_address, handlers)
-    lifecycle.serve_at(server.address)
     eventlet.spawn(parts.writer.run)
     eventlet.spawn(follow_log, parts, monotonic_ms, settings.bootstrap)
-    parts.peering.start()
+    parts.peering.start(server.address)
     eventlet.spawn(parts.keepers.run)
     eventlet.spawn(parts.placer.run)
     eventlet.spawn(parts.claims.run)
