Place a failed job elsewhere while other workers could hold it

Cause: a worker that fails everything is free again at once. With all others full, the planner fell back to it on each pass, and an entitled job used up its 10 failures there in 0.44 s and was FAILED, although borrowers held the rest (worker fails all / reclaiming). Change: workers on which a job failed are used again only if no others could hold it, and a reclaim looks for a window elsewhere first.

--- a/libs/placement/src/hornbeamfold/placement/draft.py
+++ b/libs/placement/src/hornbeamfold/placement/draft.py
@@ -1,6 +1,7 @@
 """The working state of one planning call: what is free after the decisions so far."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from hornbeamfold.model import (
@@ -14,8 +15,8 @@
     StopReason,
     WorkerCapacity,
 )
-from hornbeamfold.placement.blocks import FreeIndex
-from hornbeamfold.placement.fit import Placement, find_place
+from hornbeamfold.placement.blocks import FreeIndex, total_index
+from hornbeamfold.placement.fit import Placement, find_place, infeasible_reason
 from hornbeamfold.placement.guarantees import entitled_active
 from hornbeamfold.placement.tenants import Key, Tenants, find_tenants
 
@@ -73,9 +74,22 @@
         return self._entitled_active
 
     def find(self, job: Job) -> Placement | None:
-        """Return a free place, preferably not on workers on which the job failed before."""
+        """Return a free place away from workers on which the job failed.
+
+        Those are used only if no others could hold the job: a worker that fails everything is
+        always free again at once, and the job would use up its failures there.
+        """
         if not job.failed_on:
             return find_place(self.index, job.spec.shape)
+        with self.without_failed(job):
+            found = find_place(self.index, job.spec.shape)
+        if found is not None or self._fits_elsewhere(job):
+            return found
+        return find_place(self.index, job.spec.shape)
+
+    @contextmanager
+    def without_failed(self, job: Job) -> Iterator[None]:
+        """Close the workers on which a job failed for the time of a block."""
         shut = [
             Member(name, tuple(range(room.worker.accelerators)), 0, 0)
             for name in sorted(set(job.failed_on))
@@ -85,11 +99,14 @@
         for member in shut:
             self.index.rooms[member.worker].held_slots += self.index.rooms[member.worker].slots
         self.index.hold(shut)
-        found = find_place(self.index, job.spec.shape)
+        yield
         for member in shut:
             self.index.rooms[member.worker].held_slots -= self.index.rooms[member.worker].slots
         self.index.hold(shut, -1)
-        return found or find_place(self.index, job.spec.shape)
+
+    def _fits_elsewhere(self, job: Job) -> bool:
+        others = [one for name, one in self.state.capacities.items() if name not in job.failed_on]
+        return not infeasible_reason(job.spec.shape, total_index(others, only_eligible=True))
 
     def place(self, job: Job, members: tuple[Member, ...], reason: str) -> None:
         """Decide a placement."""
--- a/libs/placement/src/hornbeamfold/placement/entitled.py
+++ b/libs/placement/src/hornbeamfold/placement/entitled.py
@@ -1,6 +1,7 @@
 """Places for entitled jobs: free ones that keep the guarantees whole, or reclaimed ones."""
 
 from dataclasses import dataclass
+from functools import partial
 
 from hornbeamfold.model import Job, Member, Reservation, StopReason
 from hornbeamfold.placement.blocks import FreeIndex, WorkerRoom, mask_of
@@ -186,9 +187,18 @@
     exact = bool(slot) and part == slot
     if exact:
         packing.index.release(slot)
-    found = cheapest_reclaim(
-        job.spec.shape, packing.index, draft.index, draft.tenants, protected, part
+    window = partial(
+        cheapest_reclaim,
+        job.spec.shape,
+        packing.index,
+        draft.index,
+        draft.tenants,
+        protected,
+        part,
     )
+    with draft.without_failed(job):
+        found = window()
+    found = found or (window() if job.failed_on else None)
     if exact:
         packing.index.take(slot)
     if found is None:
--- a/libs/placement/tests/test_plan.py
+++ b/libs/placement/tests/test_plan.py
@@ -49,6 +49,26 @@
                 cluster.finish(keys[number])
             cluster.step()
 
+    def test_a_job_leaves_a_worker_that_failed_it(self):
+        """Guards against a job that fails at once, ten times, on the only worker that is free."""
+        for guarantee, expected in (((Shape(8),), ["stop"]), ((), [])):
+            with self.subTest(guarantee=guarantee):
+                names = (Organisation("a", guarantee), Organisation("b"))
+                cluster = Cluster(self, workers(racks=1, per_rack=2), names)
+                cluster.submit(spec("borrower", 8, "b", checkpointable=True))
+                cluster.step()
+                used = cluster.jobs["b", "borrower"].members[0].member.worker
+                free = next(name for name in cluster.machines if name != used)
+                cluster.submit(spec("job", 8), failed_on=(free,), failures=1)
+                kinds = {JobPlaced: "place", JobStopping: "stop", JobJudged: "judge"}
+                self.assertEqual([kinds[type(one)] for one in cluster.step()], expected)
+
+    def test_a_job_that_failed_everywhere_is_placed_again(self):
+        """Guards against a job that waits for ever after a failure on the only worker."""
+        cluster = Cluster(self, workers(racks=1, per_rack=1))
+        cluster.submit(spec("job", 8), failed_on=tuple(cluster.machines), failures=1)
+        self.assertEqual([type(one) for one in cluster.step()], [JobPlaced])
+
     def test_infeasible_is_judged_once_and_again_after_a_change(self):
         """Guards against a job that waits for ever for a topology that does not exist."""
         cluster = Cluster(self, workers(racks=1, per_rack=2))
