--- a/libs/bench/src/hornbeamfold/bench/fault_table.py
+++ b/libs/bench/src/hornbeamfold/bench/fault_table.py
@@ -15,11 +15,13 @@
 OUTAGE_S = 5.0
 # The bound of 5 s after which nothing starts, and a time in which a late start would show.
 EXCLUDED_S = 7.5
-ALL_ENTRIES = "127.0.0.1"
 NO_LEASE = "no lease of a task matters in this step"
 NO_WORKER = "no worker is chosen yet in this step"
 NO_OBJECT = "operators change nothing in this step"
 RACERS = 6
+LATE_REQUESTS = 16
+# A member that is cut off must have lapsed long before the bound on partial gangs of 15 s.
+LONG_CUT_S = 26.0
 
 
 async def nothing(scene: Scene) -> None:
@@ -93,6 +95,12 @@
 VICTIM = ["victim"]
 
 
+async def lapse(scene: Scene) -> None:
+    """Cut all instances, but not the checks, off from the workers of the wave."""
+    zones = sorted(set(scene.zones().values()))
+    await worker_fault(cut_requests=zones)(scene)
+
+
 async def stale_list(scene: Scene) -> None:
     """Show the list of this moment while the victim ends and comes back at another address."""
     await set_faults(scene.fleet.instance_list, stale_reads=True)
@@ -122,6 +130,15 @@
     return next(one.availability_zone for one in workers if one.name in scene.workers)
 
 
+async def thaw_with_work(scene: Scene) -> None:
+    """Thaw the victim with requests that arrived while it was frozen and its view grew old."""
+    requests = [scene.request("accepted", 60, idempotent=True) for _ in range(LATE_REQUESTS)]
+    calls = [scene.start_call("accepted", request) for request in requests]
+    await asyncio.sleep(0.3)
+    await thaw(scene)
+    await asyncio.gather(*calls)
+
+
 async def drain_workers(scene: Scene) -> None:
     """Drain the workers of the wave; nothing may start there after the bound."""
     for worker in sorted(scene.workers):
@@ -279,8 +296,8 @@
     ),
     Fault(
         "lease lapse",
-        LAPSE_S,
-        worker_fault(cut_requests=[ALL_ENTRIES]),
+        LONG_CUT_S,
+        lapse,
         nothing,
         hits_workers=True,
         not_applicable=dict.fromkeys(("accepted", "publishing", "snapshotting"), NO_LEASE),
@@ -304,6 +321,12 @@
         thaw,
         blocks_starts=True,
     ),
+    Fault(
+        "freeze + zone out",
+        LAPSE_S,
+        both(freeze, zone_out),
+        both(thaw_with_work, zone_back),
+    ),
     Fault(
         "zone out + kill", EXCLUDED_S, both(zone_out, kill), both(zone_back, restart), kills=True
     ),
