Hand open claims over when an instance drains

Cause: the holder of a claim asked a silent worker until the deadline of the request, also after SIGTERM, so the drain ended at its bound with exit code 1 (worker dead / draining: 11.1 s). Change: a draining instance stops asking a worker that does not answer, and stops waiting for claims of others; the claim stays open, the caller gets OUTCOME_UNKNOWN and the others resolve it.

--- a/libs/daemon/src/hornbeamfold/daemon/claims.py
+++ b/libs/daemon/src/hornbeamfold/daemon/claims.py
@@ -70,6 +70,7 @@
         check_answer: CheckAnswer,
         clock: Clock,
         wall: Clock,
+        draining: Callable[[], bool],
     ) -> None:
         self._incarnation = incarnation
         self._follower = follower
@@ -82,6 +83,7 @@
         self._check_answer = check_answer
         self._clock = clock
         self._wall = wall
+        self._draining = draining
         self._serving: set[Key] = set()
         self._dispatched: set[tuple[Key, int]] = set()
         self._silent_since: dict[str, int] = {}
@@ -150,7 +152,8 @@
             if present is None or present.state != ClaimState.OPEN or present.epoch != claim.epoch:
                 return True
             left = self._left(request)
-            if left <= 0:
+            # The caller finds the claim through any instance, so a drain need not wait for it.
+            if left <= 0 or self._draining():
                 return False
             self._follower.changed.wait(left)
 
@@ -252,7 +255,9 @@
             result = self._ask_once(worker, task, claim)
             if result is not None and not isinstance(result, NoReply):
                 return result
-            if self._left(request) <= 0:
+            # The others resolve the claim once this instance has left.
+            unreachable = result is not None
+            if self._left(request) <= 0 or (unreachable and self._draining()):
                 return NoReply("The worker did not say whether it ran the request.")
             eventlet.sleep(LOOK_UP_PAUSE_MS / 1_000)
 
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -165,6 +165,7 @@
         checked_answer,
         clock,
         wall,
+        lambda: lifecycle.draining,
     )
     peering = Peering(
         settings,
