--- /dev/null
+++ b/libs/daemon/tests/test_keeper.py
@@ -0,0 +1,134 @@
+"""Tests of the plan of an exchange with a worker and of what its reply says."""
+
+import unittest
+from dataclasses import replace
+
+from daemon_cases import KEY, Cluster
+
+from hornbeamfold.daemon.keeper import MemberHere, SyncResult, lease_ms, plan_sync, read_reply
+from hornbeamfold.membership import Permit
+from hornbeamfold.model.events import JobStopping
+from hornbeamfold.model.timing import (
+    CHECKPOINT_BOUND_MS,
+    GANG_LEASE_MS,
+    LEASE_MS,
+    START_BOUND_MS,
+    START_LEASE_MS,
+)
+from hornbeamfold.model.work import MemberState, StopReason
+from hornbeamfold.workers import SyncReply, TaskReport, TaskState, Usage
+
+YES, NO = Permit(True, "yes"), Permit(False, "no")
+TASK = "job/a/j/1/w0"
+
+
+def here(job, placed_age_ms=0, stopping_age_ms=0):
+    """Return the member on w0."""
+    return MemberHere(job, job.members[0], placed_age_ms, stopping_age_ms)
+
+
+def task(state, name=TASK, fence=1, checkpoint=""):
+    """Return the report of a task."""
+    return TaskReport(name, fence, state, checkpoint)
+
+
+def reply(*tasks):
+    """Return the reply of a worker with these tasks."""
+    return SyncReply(tasks, 4, 1, False, True, Usage(0, 0.0, 0.0))
+
+
+class PlanSyncTest(unittest.TestCase):
+    def plan(self, member, reported=None, start=YES, renew=YES):
+        known = {TASK: reported} if reported else {}
+        return plan_sync("i", [member], known, SyncResult(), start, renew).request
+
+    def test_starts(self) -> None:
+        """Guards against a start on a stale view, after its bound or with a long lease."""
+        job = Cluster().place()
+        for name, placed_ms, permit, started in (
+            ("fresh", 0, YES, 1),
+            ("at the bound", START_BOUND_MS, YES, 1),
+            ("late", START_BOUND_MS + 1, YES, 0),
+            ("stale view", 0, NO, 0),
+        ):
+            with self.subTest(name):
+                request = self.plan(here(job, placed_ms), start=permit)
+                self.assertEqual(len(request.start), started)
+                for start in request.start:
+                    self.assertEqual(
+                        (start.task, start.lease_ms, start.fence), (TASK, START_LEASE_MS, job.fence)
+                    )
+
+    def test_leases_grow_only_when_the_whole_gang_runs(self) -> None:
+        """Guards against a partial gang that lives on for a full lease."""
+        cluster = Cluster()
+        cluster.place()
+        partial = cluster.report("w0", MemberState.RUNNING)
+        self.assertEqual(lease_ms(partial), START_LEASE_MS)
+        self.assertEqual(lease_ms(cluster.report("w1", MemberState.RUNNING)), GANG_LEASE_MS)
+        self.assertEqual(lease_ms(Cluster().run(workers=("w0",))), LEASE_MS)
+        self.assertEqual(self.plan(here(partial)).renew[0].lease_ms, START_LEASE_MS)
+        self.assertEqual(self.plan(here(partial), renew=NO).renew, ())
+
+    def test_stops(self) -> None:
+        """Guards against a member that runs on after the stop, or loses its checkpoint."""
+        running = task(TaskState.RUNNING)
+        saved = replace(running, checkpoint="c")
+        for name, checkpointable, age_ms, reported, renew, expected in (
+            ("plain", False, 0, running, YES, ((), (), (TASK,))),
+            ("checkpoint first", True, 0, running, YES, ((TASK,), (START_LEASE_MS,), ())),
+            ("not renewed when isolated", True, 0, running, NO, ((TASK,), (), ())),
+            ("checkpoint taken", True, 0, saved, YES, ((), (), (TASK,))),
+            ("checkpoint too slow", True, CHECKPOINT_BOUND_MS, running, YES, ((), (), (TASK,))),
+            ("not seen yet", True, 0, None, YES, ((), (), (TASK,))),
+        ):
+            with self.subTest(name):
+                cluster = Cluster()
+                cluster.run(checkpointable=checkpointable)
+                cluster.fold(JobStopping(*KEY, 1, StopReason.RECLAIM))
+                job = cluster.view.jobs[KEY]
+                request = self.plan(here(job, 0, age_ms), reported, renew=renew)
+                leases = tuple(one.lease_ms for one in request.renew)
+                self.assertEqual((request.checkpoint, leases, request.stop), expected)
+
+
+class ReadReplyTest(unittest.TestCase):
+    def test_member_states(self) -> None:
+        """Guards against a lost or unstarted member that is taken for a running one."""
+        pending, running = MemberState.PENDING, MemberState.RUNNING
+        for before, state, stopped, expected in (
+            (pending, TaskState.RUNNING, False, running),
+            (pending, TaskState.REFUSED, False, None),
+            (pending, None, False, None),
+            (pending, None, True, MemberState.STOPPED),
+            (running, TaskState.RUNNING, False, None),
+            (running, None, False, MemberState.LOST),
+            (running, TaskState.LAPSED, False, MemberState.LOST),
+            (running, TaskState.FAILED, False, MemberState.FAILED),
+            (running, TaskState.FINISHED, True, MemberState.FINISHED),
+        ):
+            with self.subTest(before=before, state=state, stopped=stopped):
+                cluster = Cluster()
+                job = cluster.place() if before is pending else cluster.run()
+                tasks = (task(state),) if state else ()
+                asked = (TASK,) if stopped else ()
+                result = read_reply([here(job)], reply(*tasks), asked, cluster.view.offset)
+                found = [one.state for one in result.reports]
+                self.assertEqual(found, [expected] if expected else [])
+
+    def test_tasks_that_no_member_explains(self) -> None:
+        """Guards against orphans that run on, and against stopping what is not folded here yet."""
+        orphan, old = "job/a/x/1/w0", "job/a/y/1/w0"
+        for name, one, forget, stop in (
+            ("orphan", task(TaskState.RUNNING, orphan, 4), (), (orphan,)),
+            ("ended", task(TaskState.FINISHED, old, 4), (old,), ()),
+            ("ahead of this view", task(TaskState.RUNNING, orphan, 5), (), ()),
+            ("request", task(TaskState.RUNNING, "request/a/r/1", 0), (), ()),
+        ):
+            with self.subTest(name):
+                result = read_reply([], reply(one), (), 5)
+                self.assertEqual((result.forget, result.stop), (forget, stop))
+
+
+if __name__ == "__main__":
+    unittest.main()
