--- a/libs/bench/src/hornbeamfold/bench/fault_scene.py
+++ b/libs/bench/src/hornbeamfold/bench/fault_scene.py
@@ -42,13 +42,15 @@
 class Scene:
     """One row: its fleet, the instance and the workers that the fault hits, and the evidence."""
 
-    def __init__(self, fleet: Fleet, fault: Fault, evidence: Evidence) -> None:
+    def __init__(
+        self, fleet: Fleet, fault: Fault, evidence: Evidence, row: str = "", victim: str = ""
+    ) -> None:
         self.fleet = fleet
         self.fault = fault
-        self.row = fault.name.replace(" ", "-")
+        self.row = row or fault.name.replace(" ", "-")
         self.evidence = evidence
         # The first-ranked proposer of placements is hit, because most depends on it.
-        self.victim = rank_names("placement", fleet.daemons)[0]
+        self.victim = victim or rank_names("placement", fleet.daemons)[0]
         self.workers: set[str] = set()
         self.frozen: set[str] = set()
         # The zone that is out, and the time after which nothing may start there.
