--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -158,6 +158,7 @@
         checked_answer,
         clock,
         wall,
+        lambda: lifecycle.draining,
     )
     peering = Peering(
         settings,
--- a/libs/standins/tests/test_log.py
+++ b/libs/standins/tests/test_log.py
@@ -157,14 +157,19 @@
         self.log.reset()
         self.assertEqual(self.stored(), ["a", "b"])
 
+    def time_append(self, zone: str) -> float:
+        began = monotonic()
+        self.append("x" * 1_000, **{"X-Availability-Zone": zone})
+        return monotonic() - began
+
     def test_delay_and_bytes_between_regions(self) -> None:
         """Guards against measurements that leave out the way between regions."""
         self.start("--zone", "a1", "--delays", DELAYS)
         for zone, least, most in (("a2", 0.002, 0.1), ("b1", 0.12, 5.0)):
-            began = monotonic()
-            self.append("x" * 1_000, **{"X-Availability-Zone": zone})
-            self.assertGreaterEqual(monotonic() - began, least)
-            self.assertLess(monotonic() - began, most)
+            took = [self.time_append(zone) for _ in range(5)]
+            self.assertGreaterEqual(min(took), least)
+            # A delay that is too long shows in every try, a busy machine only in some.
+            self.assertLess(min(took), most)
         pairs = {(p["from"], p["to"]): p for p in self.log.control("traffic")["pairs"]}
         self.assertEqual(set(pairs), {("a", "a"), ("b", "a"), ("a", "b")})
         self.assertGreater(pairs["b", "a"]["bytes"], 1_000)
