--- a/libs/standins/tests/test_log.py
+++ b/libs/standins/tests/test_log.py
@@ -170,6 +170,9 @@
             self.assertGreaterEqual(min(took), least)
             # A delay that is too long shows in every try, a busy machine only in some.
             self.assertLess(min(took), most)
+        self.log.control("traffic", {})
+        for zone in ("a2", "b1"):
+            self.time_append(zone)
         pairs = {(p["from"], p["to"]): p for p in self.log.control("traffic")["pairs"]}
         self.assertEqual(set(pairs), {("a", "a"), ("b", "a"), ("a", "b")})
         self.assertGreater(pairs["b", "a"]["bytes"], 1_000)
