--- a/libs/bench/tests/test_slopes.py
+++ b/libs/bench/tests/test_slopes.py
@@ -57,11 +57,11 @@
 class ScaleTest(unittest.TestCase):
     def test_the_cluster_has_the_asked_size(self) -> None:
         """Guards against slopes over a size that the folded view does not have."""
-        cluster = configured(workers_of(190))
-        cluster.run(gang_specs(140))
+        cluster = configured(workers_of(950))
+        cluster.run(gang_specs(760))
         cluster.run(single_specs(300))
         tasks = [len(job.members) for job in cluster.view.active.values()]
-        self.assertEqual((len(cluster.view.workers), sum(tasks)), (190, 440))
+        self.assertEqual((len(cluster.view.workers), sum(tasks)), (950, 1_060))
         self.assertEqual({len(cluster.view.zones), len(cluster.view.organisations)}, {19, 63})
 
     def test_the_queue_holds_gangs_of_128(self) -> None:
