--- a/Makefile
+++ b/Makefile
@@ -56,8 +56,9 @@
 tool: setup  ## Run the tool: make tool ARGS="instances"
 	$(PY) -m hornbeamfold.cli $(ARGS)
 
-faults: setup  ## Run the fault matrix and print its table.
-	$(PY) -m hornbeamfold.bench.faults
+faults: setup  ## Run the fault matrix: make faults [ROW="zone out"] [STEP=draining] [OUTPUT=json]
+	$(PY) -m hornbeamfold.bench.faults $(if $(ROW),--row "$(ROW)") $(if $(STEP),--step "$(STEP)") \
+	  $(if $(OUTPUT),--output $(OUTPUT))
 
 measure: setup  ## Measure the policy against the baseline; prints JSON.
 	$(PY) -m hornbeamfold.bench.measure
