--- a/libs/bench/tests/test_request_trial.py
+++ b/libs/bench/tests/test_request_trial.py
@@ -3,7 +3,9 @@
 import unittest
 from unittest.mock import patch
 
-from hornbeamfold.bench.request_trial import PLAIN, ROUTED, make_jobs, run_one
+from hornbeamfold.bench.request_policies import PLAIN, ROUTED
+from hornbeamfold.bench.request_stream import make_jobs
+from hornbeamfold.bench.request_trial import run_one
 
 
 class RequestTrialTest(unittest.TestCase):
@@ -14,14 +16,14 @@
         self.assertLessEqual(result.burst_urgent_p99, 5_000)
         self.assertLessEqual(result.retries, 0.1 * result.requests)
 
-    @patch("hornbeamfold.bench.request_trial.LOAD", 0.1)
+    @patch("hornbeamfold.bench.request_stream.LOAD", 0.1)
     def test_the_trial_sees_duplicates(self) -> None:
         """Guards against a trial that could not show a doubled request."""
         result = run_one(1, PLAIN)
         self.assertGreater(result.duplicates, 0)
         self.assertEqual(result.lost, 0)
 
-    @patch("hornbeamfold.bench.request_trial.LOAD", 0.02)
+    @patch("hornbeamfold.bench.request_stream.LOAD", 0.02)
     def test_a_seed_repeats(self) -> None:
         """Guards against runs that cannot be repeated, or policies that get other requests."""
         self.assertEqual(make_jobs(3), make_jobs(3))
