--- a/libs/bench/src/hornbeamfold/bench/request_figures.py
+++ b/libs/bench/src/hornbeamfold/bench/request_figures.py
@@ -6,11 +6,15 @@
 from hornbeamfold.bench.request_world import ZONES, World
 
 OUTAGE_MS, OUTAGE_ZONE = (60_000, 85_000), "monastir"
+URGENT_START_TARGET_MS = 1_400.0
 
 
 @dataclass(frozen=True)
 class Result:
-    """The figures of one policy for one seed; times in milliseconds, work in busy slots."""
+    """The figures of one policy for one seed; times in milliseconds, work in busy slots.
+
+    `urgent_start_in_target` is the share of all urgent requests, refused ones included.
+    """
 
     policy: str
     seed: int
@@ -20,6 +24,10 @@
     urgent_p99: float
     burst_urgent_p99: float
     burst_urgent_p99_with_refused: float
+    urgent_start_p50: float
+    urgent_start_p95: float
+    urgent_start_p99: float
+    urgent_start_in_target: float
     patient_p50: float
     patient_p95: float
     patient_p99: float
@@ -72,6 +80,9 @@
     done = [j for j in jobs if j.outcome == "done"]
     urgent = [j.ended_ms - j.arrived_ms for j in done if j.kind.urgent]
     patient = [j.ended_ms - j.arrived_ms for j in done if not j.kind.urgent]
+    all_urgent = [j for j in jobs if j.kind.urgent]
+    starts = [j.started_ms - j.arrived_ms for j in all_urgent if j.starts]
+    in_target = sum(1 for start_ms in starts if start_ms <= URGENT_START_TARGET_MS)
     burst = [j for j in jobs if j.kind.urgent and in_burst(j.arrived_ms)]
     burst_done = [j.ended_ms - j.arrived_ms for j in burst if j.outcome == "done"]
     missed = [float(URGENT_DEADLINE_MS)] * (len(burst) - len(burst_done))
@@ -88,6 +99,10 @@
         urgent_p99=share_at(urgent, 0.99),
         burst_urgent_p99=share_at(burst_done, 0.99),
         burst_urgent_p99_with_refused=share_at(burst_done + missed, 0.99),
+        urgent_start_p50=share_at(starts, 0.5),
+        urgent_start_p95=share_at(starts, 0.95),
+        urgent_start_p99=share_at(starts, 0.99),
+        urgent_start_in_target=round(in_target / max(1, len(all_urgent)), 4),
         patient_p50=share_at(patient, 0.5),
         patient_p95=share_at(patient, 0.95),
         patient_p99=share_at(patient, 0.99),
--- a/libs/bench/src/hornbeamfold/bench/request_stream.py
+++ b/libs/bench/src/hornbeamfold/bench/request_stream.py
@@ -55,6 +55,7 @@
     worker: str = ""
     outcome: str = ""
     ended_ms: float = 0.0
+    started_ms: float = -1.0
     ran: str = ""
     tried: set[str] = field(default_factory=set)
 
--- a/libs/bench/src/hornbeamfold/bench/request_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/request_trial.py
@@ -1,12 +1,8 @@
 """Trial of request routing on a virtual clock: the policy and a baseline on the same requests."""
 
-from dataclasses import asdict, dataclass
 from hashlib import blake2b
-from json import dumps
-from statistics import median
 
 from hornbeamfold.bench.request_figures import OUTAGE_MS, OUTAGE_ZONE, Result, result_of
-from hornbeamfold.bench.request_policies import PLAIN, ROUTED
 from hornbeamfold.bench.request_stream import (
     DURATION_MS,
     PATIENT_DEADLINE_MS,
@@ -120,38 +116,3 @@
         sync_targets(world)
     world.run()
     return result_of(world, seed)
-
-
-@dataclass(frozen=True)
-class Spread:
-    """A figure over the seeds."""
-
-    least: float
-    middle: float
-    most: float
-
-
-def run_trial(seeds: tuple[int, ...]) -> dict[str, dict[str, Spread]]:
-    """Run both policies for all seeds; return each figure of each policy."""
-    figures: dict[str, dict[str, Spread]] = {}
-    for policy in (ROUTED, PLAIN):
-        results = [asdict(run_one(seed, policy)) for seed in seeds]
-        names = [name for name in results[0] if name not in ("policy", "seed")]
-        rows = {name: [row[name] for row in results] for name in names}
-        figures[policy.name] = {
-            name: Spread(min(row), median(row), max(row)) for name, row in rows.items()
-        }
-    return figures
-
-
-def main() -> None:
-    """Print the figures of five seeds as JSON."""
-    figures = run_trial((1, 2, 3, 4, 5))
-    for policy, rows in figures.items():
-        print(policy)
-        for name, spread in rows.items():
-            print("  " + dumps({name: [spread.least, spread.middle, spread.most]}))
-
-
-if __name__ == "__main__":
-    main()
--- a/libs/bench/src/hornbeamfold/bench/request_world.py
+++ b/libs/bench/src/hornbeamfold/bench/request_world.py
@@ -159,6 +159,8 @@
             return
         target.busy += 1
         job.starts += 1
+        if job.starts == 1:
+            job.started_ms = self.now
         job.ran = "running"
         service_ms, result = job.service_ms, "failed" if job.poison else "done"
         if (job.number * 7 + job.starts) % STRAGGLER_EVERY == 0:
