--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 	$(PY) -m hornbeamfold.bench.faults
 
 measure: setup  ## Measure the policy against the baseline; prints JSON.
-	$(PY) -m hornbeamfold.bench.measure
+	@$(PY) -m hornbeamfold.bench.measure
 
 slopes: setup  ## Measure the cost slopes used in docs/CAPACITY.md.
 	$(PY) -m hornbeamfold.bench.slopes
