--- a/libs/model/src/hornbeamfold/model/timing.py
+++ b/libs/model/src/hornbeamfold/model/timing.py
@@ -41,7 +41,7 @@
 ANSWER_KEEP_MS = 600_000
 LOG_WAIT_MS = 2_000
 # A longer bound raises the patient p99 in an outage; a shorter one delays urgent starts past 1.4 s.
-PATIENT_REQUEST_AGEING_MS = 15_000
+PATIENT_REQUEST_AGEING_MS = 18_000
 PATIENT_JOB_AGEING_MS = 600_000
 ZONE_OUT_BOUND_MS = 5_000
 STOP_BOUND_MS = 15_000
--- a/libs/routing/tests/test_fair_queue.py
+++ b/libs/routing/tests/test_fair_queue.py
@@ -11,7 +11,7 @@
 from hornbeamfold.routing import FairQueue, Queued, Waiting
 from hornbeamfold.routing.fair_queue import AGED_SHARE, MAX_AGED_CREDIT_MS
 
-AGEING_MS = 15_000
+AGEING_MS = 18_000
 
 
 def waiting(
