--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 	  $(if $(OUTPUT),--output $(OUTPUT))
 
 measure: setup  ## Measure the policy against the baseline; prints JSON.
-	$(PY) -m hornbeamfold.bench.measure
+	@$(PY) -m hornbeamfold.bench.measure
 
 slopes: setup  ## Measure the cost slopes of docs/CAPACITY.md: make slopes [WRITE=1]
 	$(PY) -m hornbeamfold.bench.slopes $(if $(WRITE),--write)
