Keep the working state of a plan in plain classes

Cause: data classes are frozen in this project, but Draft, Packing and EntitledPlacer were data classes that change. Change: they are plain classes with private attributes, and their callers use properties and methods. Verdicts on feasibility are found before the draft is made, and the costs of windows are kept behind a method of Tenants.

--- a/libs/placement/src/hornbeamfold/placement/draft.py
+++ b/libs/placement/src/hornbeamfold/placement/draft.py
@@ -1,7 +1,7 @@
 """The working state of one planning call: what is free after the decisions so far."""
 
-from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
 
 from hornbeamfold.model import (
     Job,
@@ -17,6 +17,7 @@
 from hornbeamfold.placement.blocks import FreeIndex
 from hornbeamfold.placement.fit import Placement, find_place
 from hornbeamfold.placement.guarantees import entitled_active
+from hornbeamfold.placement.packing import Holder
 from hornbeamfold.placement.tenants import Key, Tenants
 
 
@@ -40,65 +41,135 @@
     reason: str
 
 
-@dataclass
 class Draft:
     """The room that is left, and the decisions, while a plan is made."""
 
-    state: PlanningState
-    now_ms: int
-    index: FreeIndex
-    active: list[Job]
-    queued: list[Job]
-    reservations: dict[Key, Reservation]
-    entitled: frozenset[Key] = frozenset()
-    decisions: list[Decision] = field(default_factory=list)
-    placed: list[tuple[Job, tuple[Member, ...]]] = field(default_factory=list)
-    placed_keys: set[Key] = field(default_factory=set)
-    stopped: set[Key] = field(default_factory=set)
-    _tenants: Tenants | None = None
-    _entitled_active: dict[str, list[Job]] | None = None
+    def __init__(
+        self,
+        state: PlanningState,
+        now_ms: int,
+        index: FreeIndex,
+        active: Collection[Job],
+        queued: Collection[Job],
+        decisions: Iterable[Decision] = (),
+    ) -> None:
+        self._state = state
+        self._now_ms = now_ms
+        self._index = index
+        self._active = active
+        self._queued = queued
+        self._decisions = list(decisions)
+        self._reservations: Mapping[Key, Reservation] = {}
+        self._entitled: frozenset[Key] = frozenset()
+        self._placed: dict[Key, Holder] = {}
+        self._stopped: set[Key] = set()
+        self._tenants: Tenants | None = None
+        self._entitled_active: dict[str, list[Job]] | None = None
+
+    @property
+    def state(self) -> PlanningState:
+        """The state that the plan is for."""
+        return self._state
+
+    @property
+    def now_ms(self) -> int:
+        """The time that the plan is for."""
+        return self._now_ms
+
+    @property
+    def index(self) -> FreeIndex:
+        """The room that is left after the decisions so far."""
+        return self._index
+
+    @property
+    def queued(self) -> Collection[Job]:
+        """The queued jobs that a topology in service can hold."""
+        return self._queued
+
+    @property
+    def decisions(self) -> tuple[Decision, ...]:
+        """The decisions so far."""
+        return tuple(self._decisions)
+
+    @property
+    def placed(self) -> Collection[Holder]:
+        """The jobs that this plan places, with their members."""
+        return self._placed.values()
+
+    @property
+    def stops(self) -> int:
+        """The number of jobs that this plan stops."""
+        return len(self._stopped)
+
+    @property
+    def reservations(self) -> Mapping[Key, Reservation]:
+        """The reclaimed windows that are still kept, by beneficiary."""
+        return self._reservations
+
+    @property
+    def entitled(self) -> frozenset[Key]:
+        """The keys of the queued jobs that are entitled."""
+        return self._entitled
 
     @property
     def tenants(self) -> Tenants:
         """The tenants of all workers, found when first needed."""
         if self._tenants is None:
-            self._tenants = Tenants(self.active, self.state.estimates, self.now_ms)
+            self._tenants = Tenants(self._active, self._state.estimates, self._now_ms)
         return self._tenants
 
-    def entitled_active(self) -> dict[str, list[Job]]:
-        """Return the entitled active jobs of each organisation, found when first needed."""
+    @property
+    def entitled_active(self) -> Mapping[str, list[Job]]:
+        """The entitled active jobs of each organisation, found when first needed."""
         if self._entitled_active is None:
-            self._entitled_active = entitled_active(self.state.organisations, self.active)
+            self._entitled_active = entitled_active(self._state.organisations, self._active)
         return self._entitled_active
 
+    def is_placed(self, key: Key) -> bool:
+        """Return whether this plan places the job."""
+        return key in self._placed
+
+    def is_stopped(self, key: Key) -> bool:
+        """Return whether this plan stops the job."""
+        return key in self._stopped
+
+    def keep_reservations(self, reservations: Mapping[Key, Reservation]) -> None:
+        """Hold reclaimed windows for their beneficiaries."""
+        self._reservations = reservations
+        for reservation in reservations.values():
+            self._index.hold(reservation.members)
+
+    def entitle(self, keys: frozenset[Key]) -> None:
+        """Set which queued jobs are entitled."""
+        self._entitled = keys
+
     def find(self, job: Job) -> Placement | None:
         """Return a free place, preferably not on workers on which the job failed before."""
         if not job.failed_on:
-            return find_place(self.index, job.spec.shape)
+            return find_place(self._index, job.spec.shape)
         shut = [
             Member(name, tuple(range(room.worker.accelerators)), 0, 0)
             for name in sorted(set(job.failed_on))
-            if (room := self.index.rooms.get(name)) is not None and not room.held
+            if (room := self._index.rooms.get(name)) is not None and not room.held
         ]
         # A slot held for each closed worker also keeps tasks without accelerators away.
         for member in shut:
-            self.index.rooms[member.worker].held_slots += self.index.rooms[member.worker].slots
-        self.index.hold(shut)
-        found = find_place(self.index, job.spec.shape)
+            self._index.rooms[member.worker].held_slots += self._index.rooms[member.worker].slots
+        self._index.hold(shut)
+        found = find_place(self._index, job.spec.shape)
         for member in shut:
-            self.index.rooms[member.worker].held_slots -= self.index.rooms[member.worker].slots
-        self.index.hold(shut, -1)
-        return found or find_place(self.index, job.spec.shape)
+            self._index.rooms[member.worker].held_slots -= self._index.rooms[member.worker].slots
+        self._index.hold(shut, -1)
+        return found or find_place(self._index, job.spec.shape)
 
     def place(self, job: Job, members: tuple[Member, ...], reason: str) -> None:
         """Decide a placement."""
-        self.index.take(members)
-        self.placed.append((job, members))
-        self.placed_keys.add(job.key)
+        self._index.take(members)
+        self._placed[job.key] = Holder(job, members)
         event = JobPlaced(
-            job.spec.organisation, job.spec.job_id, job.attempt, members, self.state.offset
+            job.spec.organisation, job.spec.job_id, job.attempt, members, self._state.offset
         )
-        self.decisions.append(Decision(event, reason))
+        self._decisions.append(Decision(event, reason))
 
     def stop(
         self,
@@ -109,8 +180,8 @@
         reason: str,
     ) -> None:
         """Decide a stop; the room stays taken until the members have ended."""
-        self.stopped.add(job.key)
+        self._stopped.add(job.key)
         event = JobStopping(
             job.spec.organisation, job.spec.job_id, job.attempt, why, beneficiary, window
         )
-        self.decisions.append(Decision(event, reason))
+        self._decisions.append(Decision(event, reason))
--- a/libs/placement/src/hornbeamfold/placement/entitled.py
+++ b/libs/placement/src/hornbeamfold/placement/entitled.py
@@ -1,6 +1,6 @@
 """Places for entitled jobs: free ones that keep the guarantees whole, or reclaimed ones."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable
 
 from hornbeamfold.model import Job, Member, Reservation, StopReason
 from hornbeamfold.placement.blocks import FreeIndex, WorkerRoom, mask_of
@@ -15,35 +15,35 @@
 RECLAIMS_PER_PLAN = 4
 
 
-@dataclass
 class EntitledPlacer:
     """Places entitled jobs one at a time; the packing is made when the first one needs it."""
 
-    draft: Draft
-    waiting: list[Job]
-    reclaims: int = 0
-    _packing: Packing | None = None
+    def __init__(self, draft: Draft, waiting: Iterable[Job]) -> None:
+        self._draft = draft
+        self._waiting = waiting
+        self._reclaims = 0
+        self._packing: Packing | None = None
 
     @property
     def packing(self) -> Packing:
         """The slots for the guarantees of all organisations."""
         if self._packing is None:
-            waiting = [job for job in self.waiting if job.key not in self.draft.placed_keys]
-            self._packing = _pack(self.draft, waiting)
+            waiting = [job for job in self._waiting if not self._draft.is_placed(job.key)]
+            self._packing = _pack(self._draft, waiting)
         return self._packing
 
     def place(self, job: Job) -> None:
         """Place a job, or stop borrowers for it, or leave it waiting for a stop to end."""
-        if job.key in self.draft.reservations:
-            _use_reservation(self.draft, job)
-        elif not _place_free(self.draft, self.packing, job):
+        if job.key in self._draft.reservations:
+            _use_reservation(self._draft, job)
+        elif not _place_free(self._draft, self.packing, job):
             self._reclaim(job)
 
     def _reclaim(self, job: Job) -> None:
-        if self.reclaims >= RECLAIMS_PER_PLAN:
+        if self._reclaims >= RECLAIMS_PER_PLAN:
             return
-        self.reclaims += 1
-        _reclaim(self.draft, self.packing, job)
+        self._reclaims += 1
+        _reclaim(self._draft, self.packing, job)
 
 
 def valid_reservations(draft: Draft) -> dict[Key, Reservation]:
@@ -88,14 +88,14 @@
     organisations = draft.state.organisations
     holders = {
         name: [Holder(job, tuple(status.member for status in job.members)) for job in jobs]
-        for name, jobs in draft.entitled_active().items()
+        for name, jobs in draft.entitled_active.items()
     }
     for job in waiting:
         reservation = draft.reservations.get(job.key)
         members = reservation.members if reservation is not None else ()
         holders.setdefault(job.spec.organisation, []).append(Holder(job, members))
-    for job, members in draft.placed:
-        holders.setdefault(job.spec.organisation, []).append(Holder(job, members))
+    for holder in draft.placed:
+        holders.setdefault(holder.job.spec.organisation, []).append(holder)
     return pack_guarantees(organisations, draft.state.capacities.values(), holders)
 
 
@@ -120,23 +120,17 @@
 
 def _admit(draft: Draft, packing: Packing, job: Job, members: tuple[Member, ...]) -> bool:
     """Take members out of the room beside the guarantees, if they fit there."""
-    slot_id = packing.slot_of.get(job.key)
-    slot = packing.slots.get(slot_id) if slot_id is not None else None
     if packing.index.fits(members):
         packing.index.take(members)
         return True
-    if slot_id is None or slot is None:
+    slot_id = packing.slot_id(job.key)
+    slot = packing.slot(job.key)
+    if slot_id is None or not slot:
         return False
     guarantee = draft.state.organisations[slot_id[0]].guarantee[slot_id[1]]
     if job.spec.shape != guarantee:
         return _inside(members, slot)
-    packing.index.release(slot)
-    if packing.index.fits(members):
-        packing.index.take(members)
-        del packing.slots[slot_id]
-        return True
-    packing.index.take(slot)
-    return False
+    return packing.fill(job.key, members)
 
 
 def _inside(members: tuple[Member, ...], slot: tuple[Member, ...]) -> bool:
@@ -152,10 +146,8 @@
 
 def _part_of_slot(draft: Draft, packing: Packing, job: Job) -> tuple[Member, ...]:
     """Return a place for the job within the slot of its guarantee."""
-    slot_id = packing.slot_of.get(job.key)
-    slot = packing.slots.get(slot_id, ()) if slot_id is not None else ()
     rooms = []
-    for member in slot:
+    for member in packing.slot(job.key):
         capacity = draft.state.capacities[member.worker]
         mask = mask_of(member.accelerators)
         room = WorkerRoom(capacity.worker, mask, member.processors, member.memory_gb, 1)
@@ -166,13 +158,12 @@
 
 def _reclaim(draft: Draft, packing: Packing, job: Job) -> bool:
     """Stop the tenants of the cheapest window; return whether there is one."""
-    slot_id = packing.slot_of.get(job.key)
     part = _part_of_slot(draft, packing, job)
 
     def protected(tenant: Tenant) -> bool:
-        return tenant.key in packing.slot_of and tenant.key not in packing.movable
+        return packing.is_fixed(tenant.key)
 
-    slot = packing.slots.get(slot_id, ()) if slot_id is not None else ()
+    slot = packing.slot(job.key)
     exact = bool(slot) and part == slot
     if exact:
         packing.index.release(slot)
@@ -186,7 +177,7 @@
     _admit(draft, packing, job, found.window)
     draft.index.hold(found.window)
     for tenant in found.stops:
-        if tenant.key in draft.stopped:
+        if draft.is_stopped(tenant.key):
             continue
         draft.stop(
             tenant.job,
--- a/libs/placement/src/hornbeamfold/placement/packing.py
+++ b/libs/placement/src/hornbeamfold/placement/packing.py
@@ -1,7 +1,7 @@
 """Slots that keep room for the unused guarantees around the entitled jobs that run."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from hornbeamfold.model import Job, Member, Organisation, Shape, WorkerCapacity
 from hornbeamfold.placement.blocks import FreeIndex, mask_of, total_index
@@ -20,16 +20,67 @@
     members: tuple[Member, ...]
 
 
-@dataclass
 class Packing:
     """The slots of guarantees, and the room that neither slots nor entitled jobs use."""
 
-    index: FreeIndex
-    slots: dict[SlotId, tuple[Member, ...]] = field(default_factory=dict)
-    slot_of: dict[Key, SlotId] = field(default_factory=dict)
-    suspended: list[SlotId] = field(default_factory=list)
-    suspended_accelerators: int = 0
-    movable: frozenset[Key] = frozenset()
+    def __init__(self, index: FreeIndex) -> None:
+        self._index = index
+        self._slots: dict[SlotId, tuple[Member, ...]] = {}
+        self._slot_ids: dict[Key, SlotId] = {}
+        self._movable: set[Key] = set()
+        self._suspended: list[Shape] = []
+
+    @property
+    def index(self) -> FreeIndex:
+        """The room beside the slots and the entitled jobs."""
+        return self._index
+
+    @property
+    def suspended(self) -> int:
+        """The accelerators of the guarantees without a slot; a task without any counts as one."""
+        return sum(shape.accelerators or 1 for shape in self._suspended)
+
+    def slot_id(self, key: Key) -> SlotId | None:
+        """Return which guarantee a job fills."""
+        return self._slot_ids.get(key)
+
+    def slot(self, key: Key) -> tuple[Member, ...]:
+        """Return the room kept for the guarantee that a job fills."""
+        slot_id = self._slot_ids.get(key)
+        return self._slots.get(slot_id, ()) if slot_id is not None else ()
+
+    def is_fixed(self, key: Key) -> bool:
+        """Return whether a job is entitled and stays where it is."""
+        return key in self._slot_ids and key not in self._movable
+
+    def assign(self, key: Key, slot_id: SlotId) -> None:
+        """Let a job fill a guarantee."""
+        self._slot_ids[key] = slot_id
+
+    def allow_move(self, key: Key) -> None:
+        """Let an entitled job be moved for the guarantees of others."""
+        self._movable.add(key)
+
+    def keep(self, slot_id: SlotId, members: tuple[Member, ...]) -> None:
+        """Keep room for a guarantee."""
+        self._slots[slot_id] = members
+        self._index.take(members)
+
+    def suspend(self, shape: Shape) -> None:
+        """Note a guarantee that has no slot."""
+        self._suspended.append(shape)
+
+    def fill(self, key: Key, members: tuple[Member, ...]) -> bool:
+        """Replace the slot of a job by its members, if they fit then."""
+        slot_id = self._slot_ids[key]
+        slot = self._slots[slot_id]
+        self._index.release(slot)
+        if self._index.fits(members):
+            self._index.take(members)
+            del self._slots[slot_id]
+            return True
+        self._index.take(slot)
+        return False
 
 
 @dataclass(frozen=True)
@@ -56,7 +107,7 @@
     best: Packing | None = None
     for level in range(3):
         packing = _pack(organisations, listed, holders, level)
-        if best is None or packing.suspended_accelerators < best.suspended_accelerators:
+        if best is None or packing.suspended < best.suspended:
             best = packing
         if not best.suspended or not any(holders.values()):
             break
@@ -72,7 +123,6 @@
 ) -> Packing:
     packing = Packing(total_index(capacities, only_eligible=True))
     items: list[_Item] = []
-    movable: set[Key] = set()
     for name, organisation in organisations.items():
         if not organisation.guarantee:
             continue
@@ -85,17 +135,16 @@
             if holder is None or not holder.members:
                 items.append(_Item(slot, shape, None, False))
                 if holder is not None:
-                    packing.slot_of[holder.job.key] = slot
+                    packing.assign(holder.job.key, slot)
                 continue
             stays = level == 0 or (level == 1 and not holder.job.spec.checkpointable)
             if stays:
                 packing.index.take(holder.members)
             else:
-                movable.add(holder.job.key)
-            packing.slot_of[holder.job.key] = slot
+                packing.allow_move(holder.job.key)
+            packing.assign(holder.job.key, slot)
             if not stays or not _fills(holder.job.spec.shape, shape):
                 items.append(_Item(slot, shape, holder, stays))
-    packing.movable = frozenset(movable)
     items.sort(key=lambda item: (decreasing(item.shape), item.slot))
     for item in items:
         _pack_item(packing, item)
@@ -114,11 +163,9 @@
         return
     found = find_place(index, item.shape)
     if found is None:
-        packing.suspended.append(item.slot)
-        packing.suspended_accelerators += item.shape.accelerators or 1
+        packing.suspend(item.shape)
     else:
-        packing.slots[item.slot] = found.members
-        index.take(found.members)
+        packing.keep(item.slot, found.members)
     if holder is not None and item.stays:
         index.take(outside(holder.members, found.members if found else ()))
 
--- a/libs/placement/src/hornbeamfold/placement/plan.py
+++ b/libs/placement/src/hornbeamfold/placement/plan.py
@@ -50,36 +50,38 @@
             active.append(job)
     if not queued:
         return ()
-    draft = Draft(state, now_ms, free_index(state.capacities), active, queued, {})
-    draft.queued = _judge(draft)
-    draft.reservations = valid_reservations(draft) if state.reservations else {}
-    for reservation in draft.reservations.values():
-        draft.index.hold(reservation.members)
-    draft.entitled = entitled_queue(
-        state.organisations, draft.entitled_active(), draft.queued, frozenset(draft.reservations)
+    feasible, judged = _judge(state, queued)
+    draft = Draft(state, now_ms, free_index(state.capacities), active, feasible, judged)
+    if state.reservations:
+        draft.keep_reservations(valid_reservations(draft))
+    draft.entitle(
+        entitled_queue(
+            state.organisations, draft.entitled_active, feasible, frozenset(draft.reservations)
+        )
     )
-    order = ordered(draft.queued, active, state.organisations, draft.entitled, now_ms)
+    order = ordered(feasible, active, state.organisations, draft.entitled, now_ms)
     _place_in_order(draft, order)
-    return tuple(draft.decisions)
+    return draft.decisions
 
 
 # This memory only saves time: the verdicts depend on nothing but the workers in service.
 _feasibility = Feasibility()
 
 
-def _judge(draft: Draft) -> list[Job]:
-    """Judge each queued job and return those that some topology in service can hold."""
-    reason_of = _feasibility.reasons(draft.state.capacities)
-    feasible = []
-    for job in draft.queued:
+def _judge(state: PlanningState, queued: Iterable[Job]) -> tuple[list[Job], list[Decision]]:
+    """Return the jobs that some topology in service can hold, and the verdicts that changed."""
+    reason_of = _feasibility.reasons(state.capacities)
+    feasible: list[Job] = []
+    decisions: list[Decision] = []
+    for job in queued:
         verdict = reason_of(job.spec.shape)
         if verdict != job.infeasible:
             event = JobJudged(job.spec.organisation, job.spec.job_id, verdict)
             reason = verdict or "a topology in service can hold the shape again"
-            draft.decisions.append(Decision(event, reason))
+            decisions.append(Decision(event, reason))
         if not verdict:
             feasible.append(job)
-    return feasible
+    return feasible, decisions
 
 
 def _place_in_order(draft: Draft, order: Iterable[Job]) -> None:
@@ -121,9 +123,9 @@
 
 def _moved_for(draft: Draft, job: Job, head: HeadReservation | None) -> HeadReservation | None:
     """Move younger checkpointable jobs out of a window for a head, if its wait is worth it."""
-    if draft.stopped:
+    if draft.stops:
         return head
-    keep = {item.key for jobs in draft.entitled_active().values() for item in jobs}
+    keep = {item.key for jobs in draft.entitled_active.values() for item in jobs}
 
     def movable(tenant: Tenant) -> bool:
         other = tenant.job
--- a/libs/placement/src/hornbeamfold/placement/reclaim.py
+++ b/libs/placement/src/hornbeamfold/placement/reclaim.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from functools import partial
 
 from hornbeamfold.model import Member, Shape, Span
 from hornbeamfold.placement.blocks import FreeIndex, RackLine, WorkerRoom, mask_of, member_on
@@ -123,9 +124,7 @@
             continue
         now = index.lines[number]
         key = (id(line), line.version, now.version, shape.accelerators, shape.span)
-        costs = tenants.window_costs.get(key)
-        if costs is None:
-            costs = tenants.window_costs[key] = _window_costs(shape, line, index, tenants)
+        costs = tenants.window_costs(key, partial(_window_costs, shape, line, index, tenants))
         ranked.extend((cost, number, at) for cost, at in costs)
     ranked.sort()
     for cost, number, at in ranked:
--- a/libs/placement/src/hornbeamfold/placement/tenants.py
+++ b/libs/placement/src/hornbeamfold/placement/tenants.py
@@ -1,12 +1,14 @@
 """Who uses which accelerator, and until when by the corrected estimates."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from hornbeamfold.model import Job, JobState, Member
 from hornbeamfold.placement.estimates import expected_end_ms
 
 Key = tuple[str, str]
+# The identity of a line, its versions as allowed and as free now, and the accelerators and span.
+WindowKey = tuple[int, int, int, int, int]
 # What a move costs a checkpointable job: its checkpoint, its restart and the work between.
 MOVE_COST_MS = 30_000
 # An urgent tenant is stopped only if that saves many times the work of patient ones.
@@ -36,8 +38,7 @@
         self._estimates = estimates
         self._now_ms = now_ms
         self._tenants: dict[int, Tenant] = {}
-        # Costs of the windows of a line, by its versions and the shape; reclaims of one call share.
-        self.window_costs: dict[tuple[int, int, int, int, int], list[tuple[float, int]]] = {}
+        self._window_costs: dict[WindowKey, list[tuple[float, int]]] = {}
         self._cells: dict[str, dict[int, Tenant]] | None = None
         self._workers: dict[str, list[tuple[Job, Member]]] | None = None
 
@@ -70,6 +71,15 @@
         tenant = self.on_cells(worker).get(index)
         return tenant.ends_ms if tenant is not None else float("inf")
 
+    def window_costs(
+        self, key: WindowKey, compute: Callable[[], list[tuple[float, int]]]
+    ) -> list[tuple[float, int]]:
+        """Return the costs of the windows of a line, which the reclaims of one call share."""
+        costs = self._window_costs.get(key)
+        if costs is None:
+            costs = self._window_costs[key] = compute()
+        return costs
+
     def _tenant(self, job: Job) -> Tenant:
         tenant = self._tenants.get(id(job))
         if tenant is None:
