--- /dev/null
+++ b/libs/bench/src/hornbeamfold/bench/placement_samples.py
@@ -0,0 +1,126 @@
+"""Collects the samples of one run of the placement trial."""
+
+from collections.abc import Iterable, Mapping
+from statistics import fmean
+
+from hornbeamfold.bench.placement_results import PolicyResult, Work, quantiles
+from hornbeamfold.bench.placement_stream import MINUTE_MS, Arrival
+from hornbeamfold.model import Job, JobState, Shape, WorkerCapacity
+from hornbeamfold.placement import fragmentation
+
+Key = tuple[str, str]
+
+ZONE_OUT_MS = (50 * MINUTE_MS, 70 * MINUTE_MS)
+# The run ends when all jobs have, or here; what waits then counts as starved.
+HORIZON_MS = 600 * MINUTE_MS
+STARVED_MS = 60 * MINUTE_MS
+
+
+class Samples:
+    """Work by period, layouts at each tick, and the start and end of each job."""
+
+    def __init__(self, arrivals: Mapping[Key, Arrival]) -> None:
+        self._arrivals = arrivals
+        self._shapes = [item.spec.shape for item in arrivals.values()]
+        self._layouts: list[tuple[float, float, float, float, int]] = []
+        self._work = {name: [0.0, 0.0, 0.0] for name in ("before", "during", "after")}
+        self._started: dict[Key, int] = {}
+        self._finished: dict[Key, int] = {}
+        self._decision_ms: list[float] = []
+        self._stops = 0
+
+    def add_time(
+        self,
+        now_ms: int,
+        until_ms: int,
+        jobs: Iterable[Job],
+        capacities: Mapping[str, WorkerCapacity],
+    ) -> None:
+        """Add the work between two events to its period."""
+        running = 0
+        waiting = 0
+        for job in jobs:
+            if job.state is JobState.RUNNING:
+                running += job.spec.shape.accelerators
+            else:
+                waiting += job.spec.shape.accelerators
+        capacity = sum(c.worker.accelerators for c in capacities.values() if c.eligible)
+        hours = (until_ms - now_ms) / 3_600_000
+        period = self._work[_period(now_ms)]
+        period[0] += running * hours
+        period[2] += min(capacity, running + waiting) * hours
+
+    def add_layout(
+        self, capacities: Mapping[str, WorkerCapacity], waiting: Iterable[Shape]
+    ) -> None:
+        """Add the fragmentation while jobs wait."""
+        seen = fragmentation(capacities, waiting)
+        layout = fragmentation(capacities, self._shapes)
+        self._layouts.append((
+            seen.unusable_share, seen.unusable_share * seen.free,
+            layout.unusable_share, layout.unusable_share * seen.free, seen.largest_run,
+        ))  # fmt: skip
+
+    def add_decision(self, spent_ms: float) -> None:
+        """Add the processor time of one decision."""
+        self._decision_ms.append(spent_ms)
+
+    def add_start(self, key: Key, now_ms: int) -> None:
+        """Add the start of a job; only its first one counts."""
+        self._started.setdefault(key, now_ms)
+
+    def add_end(self, key: Key, now_ms: int) -> None:
+        """Add the end of a job."""
+        self._finished[key] = now_ms
+
+    def add_stop(self, job: Job, now_ms: int, lost_ms: int) -> None:
+        """Add a stop that the policy decided, with the run time that it throws away."""
+        self._stops += 1
+        lost = lost_ms * job.spec.shape.accelerators / 3_600_000
+        self._work[_period(now_ms)][1] += lost
+
+    def result(self, unfinished: int) -> PolicyResult:
+        """Return what was measured."""
+        urgent: list[int] = []
+        burst: list[int] = []
+        patient: list[int] = []
+        starts: list[int] = []
+        waits: list[int] = []
+        for key, item in self._arrivals.items():
+            end = self._finished.get(key, HORIZON_MS)
+            start = self._started.get(key, HORIZON_MS)
+            if item.spec.urgent:
+                urgent.append(end - item.at_ms)
+                starts.append(start - item.at_ms)
+                if item.spec.shape.accelerators <= 8:
+                    burst.append(end - item.at_ms)
+            else:
+                patient.append(end - item.at_ms)
+                waits.append(start - item.at_ms)
+        work = {name: Work(*values) for name, values in self._work.items()}
+        columns = [fmean(column) for column in zip(*self._layouts, strict=True)]
+        return PolicyResult(
+            urgent_completion=quantiles(urgent),
+            burst_completion=quantiles(burst),
+            patient_completion=quantiles(patient),
+            urgent_start=quantiles(starts),
+            unusable_share=columns[0],
+            unusable_accelerators=columns[1],
+            layout_share=columns[2],
+            layout_accelerators=columns[3],
+            largest_run=columns[4],
+            before=work["before"],
+            during=work["during"],
+            after=work["after"],
+            decision_ms=quantiles([ms * 1000 for ms in self._decision_ms]),
+            longest_patient_wait_s=max(waits) / 1000,
+            stops=self._stops,
+            starved=sum(1 for wait in waits if wait > STARVED_MS),
+            unfinished=unfinished,
+        )
+
+
+def _period(at_ms: int) -> str:
+    if at_ms < ZONE_OUT_MS[0]:
+        return "before"
+    return "during" if at_ms < ZONE_OUT_MS[1] else "after"
