Count idle accelerators by reason in the placement trial

Cause: the trial showed that allowed work was not done, but not why. Change: plan_with_heads returns what was held for the heads of the queue beside the decisions, and the trial adds up accelerator hours by the first reason that applies: a stopping tenant, a reclaimed window, a window held for the aged, urgent or patient head, or unfit for every waiting shape.

--- a/libs/bench/src/hornbeamfold/bench/placement_results.py
+++ b/libs/bench/src/hornbeamfold/bench/placement_results.py
@@ -1,5 +1,6 @@
 """What the placement trial measures about one policy on one stream."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 
@@ -14,11 +15,15 @@
 
 @dataclass(frozen=True)
 class Work:
-    """Accelerator hours in one period: done, lost to stops, and allowed by capacity and demand."""
+    """Accelerator hours in one period: done, lost to stops, and allowed by capacity and demand.
+
+    `idle` are the hours that were allowed and not done, by reason.
+    """
 
     done: float
     lost: float
     allowed: float
+    idle: Mapping[str, float]
 
     @property
     def share(self) -> float:
--- a/libs/bench/src/hornbeamfold/bench/placement_samples.py
+++ b/libs/bench/src/hornbeamfold/bench/placement_samples.py
@@ -1,8 +1,9 @@
 """Collects the samples of one run of the placement trial."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from statistics import fmean
 
+from hornbeamfold.bench.placement_idle import REASONS, Held, idle_by_reason
 from hornbeamfold.bench.placement_results import PolicyResult, Work, quantiles
 from hornbeamfold.bench.placement_stream import MINUTE_MS, Arrival
 from hornbeamfold.model import Job, JobState, Shape, WorkerCapacity
@@ -10,6 +11,7 @@
 
 Key = tuple[str, str]
 
+PERIODS = ("before", "during", "after")
 ZONE_OUT_MS = (50 * MINUTE_MS, 70 * MINUTE_MS)
 # The run ends when all jobs have, or here; what waits then counts as starved.
 HORIZON_MS = 600 * MINUTE_MS
@@ -23,7 +25,8 @@
         self._arrivals = arrivals
         self._shapes = [item.spec.shape for item in arrivals.values()]
         self._layouts: list[tuple[float, float, float, float, int]] = []
-        self._work = {name: [0.0, 0.0, 0.0] for name in ("before", "during", "after")}
+        self._work = {name: [0.0, 0.0, 0.0] for name in PERIODS}
+        self._idle = {name: dict.fromkeys(REASONS, 0.0) for name in PERIODS}
         self._started: dict[Key, int] = {}
         self._finished: dict[Key, int] = {}
         self._decision_ms: list[float] = []
@@ -33,10 +36,11 @@
         self,
         now_ms: int,
         until_ms: int,
-        jobs: Iterable[Job],
+        jobs: Collection[Job],
         capacities: Mapping[str, WorkerCapacity],
+        held: Held,
     ) -> None:
-        """Add the work between two events to its period."""
+        """Add the work between two events, and the idle accelerators, to their period."""
         running = 0
         waiting = 0
         for job in jobs:
@@ -46,9 +50,13 @@
                 waiting += job.spec.shape.accelerators
         capacity = sum(c.worker.accelerators for c in capacities.values() if c.eligible)
         hours = (until_ms - now_ms) / 3_600_000
-        period = self._work[_period(now_ms)]
-        period[0] += running * hours
-        period[2] += min(capacity, running + waiting) * hours
+        name = _period(now_ms)
+        allowed = min(capacity, running + waiting)
+        self._work[name][0] += running * hours
+        self._work[name][2] += allowed * hours
+        idle = idle_by_reason(allowed - running, jobs, capacities, held)
+        for reason, accelerators in idle.items():
+            self._idle[name][reason] += accelerators * hours
 
     def add_layout(
         self, capacities: Mapping[str, WorkerCapacity], waiting: Iterable[Shape]
@@ -97,7 +105,7 @@
             else:
                 patient.append(end - item.at_ms)
                 waits.append(start - item.at_ms)
-        work = {name: Work(*values) for name, values in self._work.items()}
+        work = {name: Work(*values, self._idle[name]) for name, values in self._work.items()}
         columns = [fmean(column) for column in zip(*self._layouts, strict=True)]
         return PolicyResult(
             urgent_completion=quantiles(urgent),
--- a/libs/bench/src/hornbeamfold/bench/placement_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/placement_trial.py
@@ -1,6 +1,6 @@
 """Drives seeded job streams against the placement policy and a baseline on a virtual clock."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import asdict, replace
 from heapq import heappop, heappush
 from json import dumps
@@ -30,7 +30,7 @@
     WorkerCapacity,
 )
 from hornbeamfold.model.timing import CHECKPOINT_BOUND_MS, RESERVATION_MS
-from hornbeamfold.placement import Decision, PlanningState, learn, plan
+from hornbeamfold.placement import Decision, PlanningState, learn, plan, plan_with_heads
 from hornbeamfold.placement.blocks import mask_of
 
 __all__ = [
@@ -46,10 +46,12 @@
     "make_topology",
     "quantiles",
     "run_trial",
+    "traced_plan",
 ]
 
 Key = tuple[str, str]
 Policy = Callable[[PlanningState, int], tuple[Decision, ...]]
+HeldWindows = Callable[[], Mapping[str, tuple[Member, ...]]]
 
 # One decision follows an event after this time: an append and its way back.
 DECISION_DELAY_MS = 100
@@ -63,8 +65,9 @@
 class Trial:
     """One policy on one stream: the virtual clock, the cluster and the samples."""
 
-    def __init__(self, policy: Policy, stream: Iterable[Arrival]) -> None:
+    def __init__(self, policy: Policy, stream: Iterable[Arrival], held: HeldWindows = dict) -> None:
         self._policy = policy
+        self._held = held
         self._organisations = make_organisations()
         self._free = {
             worker.name: WorkerCapacity(
@@ -95,7 +98,9 @@
         while self._events and self._now < HORIZON_MS:
             at, _, action = heappop(self._events)
             if at > self._now:
-                self._samples.add_time(self._now, at, self._live.values(), self._free)
+                self._samples.add_time(
+                    self._now, at, self._live.values(), self._free, self._held_windows()
+                )
             self._now = at
             action()
         return self._samples.result(len(self._live))
@@ -104,6 +109,16 @@
         self._count += 1
         heappush(self._events, (at_ms, self._count, action))
 
+    def _held_windows(self) -> dict[str, tuple[Member, ...]]:
+        """Return the windows that are kept for waiting jobs, by reason."""
+        reclaims = tuple(
+            member
+            for item in self._reservations.values()
+            if item.until_ms > self._now
+            for member in item.members
+        )
+        return {"reclaim": reclaims, **self._held()}
+
     def _arrive(self, item: Arrival) -> None:
         self._left[item.spec.key] = item.actual_ms
         self._put(Job(item.spec, self._now))
@@ -232,6 +247,20 @@
         self._want_plan()
 
 
+def traced_plan() -> tuple[Policy, HeldWindows]:
+    """Return the policy, and a function that returns what its last call held for the heads."""
+    heads: dict[str, tuple[Member, ...]] = {}
+
+    def policy(state: PlanningState, now_ms: int) -> tuple[Decision, ...]:
+        found = plan_with_heads(state, now_ms)
+        heads.clear()
+        for group, head in found.heads.items():
+            heads[group.name.lower()] = head.members
+        return found.decisions
+
+    return policy, lambda: heads
+
+
 POLICIES: dict[str, Policy] = {"policy": plan, "baseline": baseline_plan}
 
 
@@ -240,8 +269,9 @@
     results: dict[str, list[PolicyResult]] = {name: [] for name in POLICIES}
     for seed in seeds:
         stream = make_stream(seed)
-        for name, policy in POLICIES.items():
-            results[name].append(Trial(policy, stream).run())
+        policy, held = traced_plan()
+        results["policy"].append(Trial(policy, stream, held).run())
+        results["baseline"].append(Trial(baseline_plan, stream).run())
     return {name: tuple(listed) for name, listed in results.items()}
 
 
--- a/libs/placement/src/hornbeamfold/placement/__init__.py
+++ b/libs/placement/src/hornbeamfold/placement/__init__.py
@@ -5,14 +5,16 @@
 from hornbeamfold.placement.fit import NoPlacement, Placement, is_feasible, place
 from hornbeamfold.placement.fragmentation import Fragmentation, fragmentation
 from hornbeamfold.placement.guarantees import entitled_keys, guarantees_fit
-from hornbeamfold.placement.plan import plan
+from hornbeamfold.placement.plan import Group, Plan, plan, plan_with_heads
 from hornbeamfold.placement.queue import order_queue
 
 __all__ = [
     "Decision",
     "Fragmentation",
+    "Group",
     "NoPlacement",
     "Placement",
+    "Plan",
     "PlanningState",
     "entitled_keys",
     "estimated_ms",
@@ -24,4 +26,5 @@
     "order_queue",
     "place",
     "plan",
+    "plan_with_heads",
 ]
--- a/libs/placement/src/hornbeamfold/placement/plan.py
+++ b/libs/placement/src/hornbeamfold/placement/plan.py
@@ -1,6 +1,7 @@
 """The whole decision: judge, place, reclaim and backfill, as one consistent batch."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 from enum import Enum
 
 from hornbeamfold.model import ACTIVE_JOBS, Job, JobJudged, JobState, Shape, StopReason
@@ -26,7 +27,7 @@
 STRICT_AGE_MS = 2 * PATIENT_JOB_AGEING_MS
 
 
-class _Group(Enum):
+class Group(Enum):
     """Groups of queued jobs that have a reservation each.
 
     Urgent jobs have one beside the oldest aged patient job: with a single one, a large urgent job
@@ -38,8 +39,21 @@
     PATIENT = 2
 
 
+@dataclass(frozen=True)
+class Plan:
+    """The decisions, and the windows that were held for the heads of the queue meanwhile."""
+
+    decisions: tuple[Decision, ...] = ()
+    heads: Mapping[Group, HeadReservation] = field(default_factory=dict)
+
+
 def plan(state: PlanningState, now_ms: int) -> tuple[Decision, ...]:
     """Return the decisions for this state; later ones see the effect of earlier ones."""
+    return plan_with_heads(state, now_ms).decisions
+
+
+def plan_with_heads(state: PlanningState, now_ms: int) -> Plan:
+    """Return the decisions together with what was held while they were made."""
     active: list[Job] = []
     queued: list[Job] = []
     for job in state.jobs:
@@ -49,7 +63,7 @@
         elif job.state in ACTIVE_JOBS:
             active.append(job)
     if not queued:
-        return ()
+        return Plan()
     feasible, judged = _judge(state, queued)
     draft = Draft(state, now_ms, free_index(state.capacities), active, feasible, judged)
     if state.reservations:
@@ -60,8 +74,8 @@
         )
     )
     order = ordered(feasible, active, state.organisations, draft.entitled, now_ms)
-    _place_in_order(draft, order)
-    return draft.decisions
+    heads = _place_in_order(draft, order)
+    return Plan(draft.decisions, heads)
 
 
 # This memory only saves time: the verdicts depend on nothing but the workers in service.
@@ -84,7 +98,7 @@
     return feasible, decisions
 
 
-def _place_in_order(draft: Draft, order: Iterable[Job]) -> None:
+def _place_in_order(draft: Draft, order: Iterable[Job]) -> dict[Group, HeadReservation]:
     entitled = [job for job in draft.queued if job.key in draft.entitled]
     placer = EntitledPlacer(draft, entitled)
     # A job placed before an entitled one could be in the window that this one has to reclaim, and
@@ -92,8 +106,8 @@
     for job in sorted(entitled, key=lambda job: (not job.spec.urgent, job.submitted_ms, job.key)):
         placer.place(job)
     oldest = oldest_aged(draft.queued, draft.entitled, draft.now_ms)
-    heads: dict[_Group, HeadReservation | None] = {}
-    failed: set[tuple[Shape, frozenset[_Group]]] = set()
+    heads: dict[Group, HeadReservation | None] = {}
+    failed: set[tuple[Shape, frozenset[Group]]] = set()
     looked = 0
     for job in order:
         if job.key in draft.entitled:
@@ -103,22 +117,23 @@
             break
         if _place_behind(draft, job, heads, failed):
             continue
-        group = _Group.URGENT if job.spec.urgent else _Group.PATIENT
+        group = Group.URGENT if job.spec.urgent else Group.PATIENT
         if job is oldest:
-            group = _Group.AGED
-        if group in heads or (group is _Group.PATIENT and heads):
+            group = Group.AGED
+        if group in heads or (group is Group.PATIENT and heads):
             continue
         head = _reserve(draft, job, group)
         heads[group] = head
         if head is not None:
             draft.index.hold(head.members)
+    return {group: head for group, head in heads.items() if head is not None}
 
 
-def _reserve(draft: Draft, job: Job, group: _Group) -> HeadReservation | None:
-    if group is _Group.AGED and draft.now_ms - job.submitted_ms > STRICT_AGE_MS:
+def _reserve(draft: Draft, job: Job, group: Group) -> HeadReservation | None:
+    if group is Group.AGED and draft.now_ms - job.submitted_ms > STRICT_AGE_MS:
         return reserve_oldest(job.spec.shape, draft.index, draft.tenants, draft.now_ms)
     head = reserve_head(job.spec.shape, draft.index, draft.tenants, draft.now_ms)
-    return head if group is _Group.PATIENT else _moved_for(draft, job, head)
+    return head if group is Group.PATIENT else _moved_for(draft, job, head)
 
 
 def _moved_for(draft: Draft, job: Job, head: HeadReservation | None) -> HeadReservation | None:
@@ -151,8 +166,8 @@
 def _place_behind(
     draft: Draft,
     job: Job,
-    heads: dict[_Group, HeadReservation | None],
-    failed: set[tuple[Shape, frozenset[_Group]]],
+    heads: dict[Group, HeadReservation | None],
+    failed: set[tuple[Shape, frozenset[Group]]],
 ) -> bool:
     """Place a job outside the reservations, or inside those before whose start it ends."""
     ends = draft.now_ms + estimated_ms(job.spec, draft.state.estimates)
