--- a/libs/bench/src/hornbeamfold/bench/placement_samples.py
+++ b/libs/bench/src/hornbeamfold/bench/placement_samples.py
@@ -105,7 +105,10 @@
             else:
                 patient.append(end - item.at_ms)
                 waits.append(start - item.at_ms)
-        work = {name: Work(*values, self._idle[name]) for name, values in self._work.items()}
+        work = {
+            name: Work(done, lost, allowed, self._idle[name])
+            for name, (done, lost, allowed) in self._work.items()
+        }
         columns = [fmean(column) for column in zip(*self._layouts, strict=True)]
         return PolicyResult(
             urgent_completion=quantiles(urgent),
