--- a/libs/bench/src/hornbeamfold/bench/fault_evidence.py
+++ b/libs/bench/src/hornbeamfold/bench/fault_evidence.py
@@ -54,16 +54,16 @@
     until_ms: int
 
 
-@dataclass
 class Evidence:
     """What callers and operators of one row saw."""
 
-    sent: list[Sent] = field(default_factory=list)
-    excluded: list[Excluded] = field(default_factory=list)
-    shapes: dict[tuple[str, str], int] = field(default_factory=dict)
-    problems: dict[str, list[str]] = field(default_factory=dict)
-    notes: dict[str, list[str]] = field(default_factory=dict)
-    finished: set[str] = field(default_factory=set)
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+        self.excluded: list[Excluded] = []
+        self.shapes: dict[tuple[str, str], int] = {}
+        self.problems: dict[str, list[str]] = {}
+        self.notes: dict[str, list[str]] = {}
+        self.finished: set[str] = set()
 
     def problem(self, cell: str, text: str) -> None:
         """Note a broken promise."""
--- a/libs/bench/src/hornbeamfold/bench/request_stream.py
+++ b/libs/bench/src/hornbeamfold/bench/request_stream.py
@@ -1,6 +1,6 @@
 """The requests of a trial: kinds, arrivals in bursts, and what is known of each request."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 from hornbeamfold.model.work import Request
@@ -35,29 +35,37 @@
 MEAN_SERVICE_MS = sum(k.share * k.median_ms for k in KINDS) * 2.718281828 ** (SIGMA**2 / 2)
 
 
-@dataclass
 class Job:
     """One request on its way through the trial."""
 
-    number: int
-    kind: Kind
-    request: Request
-    arrived_ms: float
-    service_ms: float
-    poison: bool
-    run: tuple[float, float, str] = (0.0, 0.0, "")
-    attempt: int = 0
-    starts: int = 0
-    sends: int = 0
-    retries: int = 0
-    copies: int = 0
-    site: int = -1
-    worker: str = ""
-    outcome: str = ""
-    ended_ms: float = 0.0
-    started_ms: float = -1.0
-    ran: str = ""
-    tried: set[str] = field(default_factory=set)
+    def __init__(
+        self,
+        number: int,
+        kind: Kind,
+        request: Request,
+        arrived_ms: float,
+        service_ms: float,
+        poison: bool,
+    ) -> None:
+        self.number = number
+        self.kind = kind
+        self.request = request
+        self.arrived_ms = arrived_ms
+        self.service_ms = service_ms
+        self.poison = poison
+        self.run: tuple[float, float, str] = (0.0, 0.0, "")
+        self.attempt = 0
+        self.starts = 0
+        self.sends = 0
+        self.retries = 0
+        self.copies = 0
+        self.site = -1
+        self.worker = ""
+        self.outcome = ""
+        self.ended_ms = 0.0
+        self.started_ms = -1.0
+        self.ran = ""
+        self.tried: set[str] = set()
 
 
 def in_burst(at_ms: float) -> bool:
