--- a/libs/placement/src/hornbeamfold/placement/backfill.py
+++ b/libs/placement/src/hornbeamfold/placement/backfill.py
@@ -52,6 +52,8 @@
     """Return the window whose largest cell value is least."""
     best: tuple[float, RackLine, int] | None = None
     for line in index.lines:
+        if line.size < shape.accelerators:
+            continue
         for start, end in _runs_to_search(line, shape.span):
             for at in range(start, end - shape.accelerators + 1):
                 time = max(times[id(line)][at : at + shape.accelerators])
@@ -94,17 +96,24 @@
     times: list[float] = []
     for room in line.rooms:
         width = room.worker.accelerators
-        if width == 0:
+        full = (1 << width) - 1
+        if room.held == full:
+            times.extend([_NEVER] * width)
             continue
         processors, memory_gb = share_of(shape, min(width, shape.accelerators))
         ready = room_time(room, processors, memory_gb, tenants, now_ms)
+        if room.free == full and not room.held:
+            times.extend([ready] * width)
+            continue
+        cells = tenants.on_cells(room.worker.name)
         for cell in range(width):
             if room.held >> cell & 1:
                 times.append(_NEVER)
             elif room.free >> cell & 1:
                 times.append(ready)
             else:
-                times.append(max(ready, tenants.cell_end(room.worker.name, cell)))
+                tenant = cells.get(cell)
+                times.append(max(ready, tenant.ends_ms) if tenant is not None else _NEVER)
     return times
 
 
@@ -166,6 +175,8 @@
     lines: list[RackLine], times: dict[int, list[float]], shape: Shape
 ) -> HeadReservation | None:
     """Return the start in a zone or region, where any free cells together hold the shape."""
+    if sum(line.size for line in lines) < shape.accelerators:
+        return None
     cells: list[tuple[float, int, int]] = []
     for number, line in enumerate(lines):
         cells.extend((time, number, at) for at, time in enumerate(times[id(line)]) if time < _NEVER)
--- a/libs/placement/src/hornbeamfold/placement/defragment.py
+++ b/libs/placement/src/hornbeamfold/placement/defragment.py
@@ -49,6 +49,8 @@
     shape: Shape, index: FreeIndex, tenants: Tenants, fixed: Fixed
 ) -> Iterator[tuple[float, tuple[Member, ...]]]:
     """Yield windows with a lower bound of their cost, the cheapest bound first."""
+    if all(_cells_in(lines) < shape.accelerators for lines in index.zones.values()):
+        return
     owners = {id(line): cell_owners(line, index, tenants) for line in index.lines}
     ranked: list[tuple[float, int, int]] = []
     for number, line in enumerate(index.lines):
@@ -62,11 +64,17 @@
         yield cost, window_members(index.lines[number], at, shape)
     if shape.span >= Span.ZONE:
         for lines in index.zones.values():
+            if _cells_in(lines) < shape.accelerators:
+                continue
             window = _cheapest_cells(lines, owners, shape, fixed)
             if window:
                 yield 0.0, window
 
 
+def _cells_in(lines: list[RackLine]) -> int:
+    return sum(line.size for line in lines)
+
+
 def _stretches(line: RackLine, span: Span) -> list[tuple[int, int]]:
     if span >= Span.RACK:
         return [(0, line.size)]
--- a/libs/placement/src/hornbeamfold/placement/guarantees.py
+++ b/libs/placement/src/hornbeamfold/placement/guarantees.py
@@ -96,9 +96,11 @@
 ) -> dict[str, list[Job]]:
     """Return the entitled active jobs of each organisation that has a guarantee."""
     guaranteed = {item.name for item in organisations.values() if item.guarantee}
+    if not guaranteed:
+        return {}
     groups: dict[tuple[str, Shape], list[Job]] = {}
     for job in active:
-        if _holds(job) and job.spec.organisation in guaranteed:
+        if job.spec.organisation in guaranteed and _holds(job):
             groups.setdefault((job.spec.organisation, job.spec.shape), []).append(job)
     by_name: dict[str, list[Job]] = {}
     for (name, shape), jobs in groups.items():
@@ -127,11 +129,25 @@
     accepted candidate is not entitled; one that needs the shape under a smaller active job is, and
     that job borrows from then on.
     """
+    # Most queued jobs are larger than any guarantee of their organisation.
+    covered: dict[str, dict[Shape, bool]] = {
+        name: {} for name, item in organisations.items() if item.guarantee
+    }
+    if not covered:
+        return frozenset()
     waiting: dict[str, list[Job]] = {}
     for job in queued:
-        organisation = organisations.get(job.spec.organisation)
-        if organisation is not None and organisation.guarantee and not job.infeasible:
-            waiting.setdefault(job.spec.organisation, []).append(job)
+        name = job.spec.organisation
+        verdicts = covered.get(name)
+        if verdicts is None or job.infeasible:
+            continue
+        shape = job.spec.shape
+        possible = verdicts.get(shape)
+        if possible is None:
+            possible = any(covers(item, shape) for item in organisations[name].guarantee)
+            verdicts[shape] = possible
+        if possible:
+            waiting.setdefault(name, []).append(job)
     found: set[Key] = set()
     for name, jobs in waiting.items():
         jobs.sort(key=lambda job: (job.key not in first, not job.spec.urgent, *_age(job)))
--- a/libs/placement/src/hornbeamfold/placement/plan.py
+++ b/libs/placement/src/hornbeamfold/placement/plan.py
@@ -99,18 +99,19 @@
 
 
 def _place_in_order(draft: Draft, order: Iterable[Job]) -> dict[Group, HeadReservation]:
-    entitled = [job for job in draft.queued if job.key in draft.entitled]
+    keys = draft.entitled
+    entitled = [job for job in draft.queued if job.key in keys] if keys else []
     placer = EntitledPlacer(draft, entitled)
     # A job placed before an entitled one could be in the window that this one has to reclaim, and
     # could only be stopped in a later call.
     for job in sorted(entitled, key=lambda job: (not job.spec.urgent, job.submitted_ms, job.key)):
         placer.place(job)
-    oldest = oldest_aged(draft.queued, draft.entitled, draft.now_ms)
+    oldest = oldest_aged(draft.queued, keys, draft.now_ms)
     heads: dict[Group, HeadReservation | None] = {}
     failed: set[tuple[Shape, frozenset[Group]]] = set()
     looked = 0
     for job in order:
-        if job.key in draft.entitled:
+        if job.key in keys:
             continue
         looked += 1
         if looked > LOOKED_AT or len(draft.placed) >= PLACEMENTS_PER_PLAN:
--- a/libs/placement/src/hornbeamfold/placement/queue.py
+++ b/libs/placement/src/hornbeamfold/placement/queue.py
@@ -79,7 +79,7 @@
 
 def oldest_aged(queued: Iterable[Job], entitled: frozenset[Key], now_ms: int) -> Job | None:
     """Return the patient job that has the reservation of the aged, if any job is that old."""
-    aged = [job for job in queued if job.key not in entitled and is_aged(job, now_ms)]
+    aged = [job for job in queued if is_aged(job, now_ms) and job.key not in entitled]
     return min(aged, key=_age, default=None)
 
 
@@ -143,7 +143,7 @@
 
 
 def _class_of(job: Job, entitled: frozenset[Key], now_ms: int) -> int:
-    if job.key in entitled:
+    if entitled and job.key in entitled:
         return _ENTITLED_URGENT if job.spec.urgent else _ENTITLED_PATIENT
     if job.spec.urgent:
         return _URGENT
--- a/libs/placement/src/hornbeamfold/placement/tenants.py
+++ b/libs/placement/src/hornbeamfold/placement/tenants.py
@@ -66,11 +66,6 @@
                     self._workers.setdefault(member.worker, []).append((job, member))
         return [(self._tenant(job), member) for job, member in self._workers.get(worker, ())]
 
-    def cell_end(self, worker: str, index: int) -> float:
-        """Return when an accelerator that is not free is expected to be."""
-        tenant = self.on_cells(worker).get(index)
-        return tenant.ends_ms if tenant is not None else float("inf")
-
     def window_costs(
         self, key: WindowKey, compute: Callable[[], list[tuple[float, int]]]
     ) -> list[tuple[float, int]]:
