--- a/libs/placement/tests/placement_cases.py
+++ b/libs/placement/tests/placement_cases.py
@@ -20,6 +20,8 @@
 )
 from hornbeamfold.model.timing import RESERVATION_MS
 from hornbeamfold.placement import PlanningState, plan
+from hornbeamfold.placement.blocks import free_index, member_on
+from hornbeamfold.placement.tenants import Tenants
 
 
 def workers(racks=3, per_rack=8, accelerators=8, slots=8):
@@ -83,6 +85,25 @@
         """Put a job into the queue."""
         self.jobs[item.key] = Job(item, values.pop("submitted_ms", self.now), **values)
 
+    def start(self, item, *places, started_ms=0, state=JobState.RUNNING):
+        """Run a job at given places, each a worker with the indices of its accelerators."""
+        members = tuple(
+            MemberStatus(member_on(worker, sum(1 << index for index in indices), item.shape))
+            for worker, indices in places
+        )
+        self.jobs[item.key] = Job(
+            item, 0, state, members=members, placed_ms=started_ms, running_ms=started_ms
+        )
+
+    def free(self):
+        """Return the index of what is free."""
+        return free_index(self.capacities())
+
+    def tenants(self):
+        """Return the tenants of all workers."""
+        active = [job for job in self.jobs.values() if job.state in ACTIVE_JOBS]
+        return Tenants(active, {}, self.now)
+
     def step(self):
         """Plan once and apply the decisions; return their events."""
         self.reservations = {
