--- a/libs/bench/src/hornbeamfold/bench/placement_results.py
+++ b/libs/bench/src/hornbeamfold/bench/placement_results.py
@@ -17,13 +17,15 @@
 class Work:
     """Accelerator hours in one period: done, lost to stops, and allowed by capacity and demand.
 
-    `idle` are the hours that were allowed and not done, by reason.
+    `idle` are the hours that were allowed and not done, by reason. `lost_by` divides what was lost
+    by the reason of the stop and by whether the job could checkpoint.
     """
 
     done: float
     lost: float
     allowed: float
     idle: Mapping[str, float]
+    lost_by: Mapping[str, float]
 
     @property
     def share(self) -> float:
--- a/libs/bench/src/hornbeamfold/bench/placement_samples.py
+++ b/libs/bench/src/hornbeamfold/bench/placement_samples.py
@@ -6,7 +6,7 @@
 from hornbeamfold.bench.placement_idle import REASONS, Held, idle_by_reason
 from hornbeamfold.bench.placement_results import PolicyResult, Work, quantiles
 from hornbeamfold.bench.placement_stream import MINUTE_MS, Arrival
-from hornbeamfold.model import Job, JobState, Shape, WorkerCapacity
+from hornbeamfold.model import Job, JobState, Shape, StopReason, WorkerCapacity
 from hornbeamfold.placement import fragmentation
 
 Key = tuple[str, str]
@@ -27,6 +27,7 @@
         self._layouts: list[tuple[float, float, float, float, int]] = []
         self._work = {name: [0.0, 0.0, 0.0] for name in PERIODS}
         self._idle = {name: dict.fromkeys(REASONS, 0.0) for name in PERIODS}
+        self._lost_by: dict[str, dict[str, float]] = {name: {} for name in PERIODS}
         self._started: dict[Key, int] = {}
         self._finished: dict[Key, int] = {}
         self._decision_ms: list[float] = []
@@ -81,11 +82,15 @@
         """Add the end of a job."""
         self._finished[key] = now_ms
 
-    def add_stop(self, job: Job, now_ms: int, lost_ms: int) -> None:
+    def add_stop(self, job: Job, now_ms: int, lost_ms: int, reason: StopReason) -> None:
         """Add a stop that the policy decided, with the run time that it throws away."""
         self._stops += 1
         lost = lost_ms * job.spec.shape.accelerators / 3_600_000
-        self._work[_period(now_ms)][1] += lost
+        name = _period(now_ms)
+        self._work[name][1] += lost
+        kind = "checkpointable" if job.spec.checkpointable else "lasting"
+        cause = f"{reason.value} {kind}"
+        self._lost_by[name][cause] = self._lost_by[name].get(cause, 0.0) + lost
 
     def result(self, unfinished: int) -> PolicyResult:
         """Return what was measured."""
@@ -106,7 +111,7 @@
                 patient.append(end - item.at_ms)
                 waits.append(start - item.at_ms)
         work = {
-            name: Work(done, lost, allowed, self._idle[name])
+            name: Work(done, lost, allowed, self._idle[name], self._lost_by[name])
             for name, (done, lost, allowed) in self._work.items()
         }
         columns = [fmean(column) for column in zip(*self._layouts, strict=True)]
--- a/libs/bench/src/hornbeamfold/bench/placement_trial.py
+++ b/libs/bench/src/hornbeamfold/bench/placement_trial.py
@@ -27,6 +27,7 @@
     Member,
     MemberStatus,
     Reservation,
+    StopReason,
     WorkerCapacity,
 )
 from hornbeamfold.model.timing import CHECKPOINT_BOUND_MS, RESERVATION_MS
@@ -171,7 +172,7 @@
                 self._reservations[event.beneficiary] = Reservation(
                     event.beneficiary, event.window, self._now + RESERVATION_MS
                 )
-            self._stop(job, planned=True)
+            self._stop(job, event.reason)
         else:
             self._reservations.pop(key, None)
             for member in event.members:
@@ -213,16 +214,19 @@
         self._put(replace(job, state=JobState.FINISHED, members=()))
         self._want_plan()
 
-    def _stop(self, job: Job, planned: bool) -> None:
-        """Stop a job; one that can checkpoint keeps its work but for the restart."""
+    def _stop(self, job: Job, reason: StopReason | None) -> None:
+        """Stop a job; one that can checkpoint keeps its work but for the restart.
+
+        `reason` is None for a stop that the policy did not decide.
+        """
         ran = self._now - job.running_ms
         if job.spec.checkpointable:
             lost, delay = min(ran, RESTART_MS), CHECKPOINT_BOUND_MS
         else:
             lost, delay = ran, STOP_MS
         self._left[job.key] -= ran - lost
-        if planned:
-            self._samples.add_stop(job, self._now, lost)
+        if reason is not None:
+            self._samples.add_stop(job, self._now, lost, reason)
         self._put(replace(job, state=JobState.STOPPING, stopping_ms=self._now))
         self._at(self._now + delay, lambda: self._stopped(job.key))
 
@@ -243,7 +247,7 @@
             if job.state is not JobState.RUNNING:
                 continue
             if any(not self._free[status.member.worker].eligible for status in job.members):
-                self._stop(job, planned=False)
+                self._stop(job, None)
         self._want_plan()
 
 
