Look for a job at the log's end before saying that it is not known

Cause: test_jobs failed now and then: a job that was accepted through one instance a moment before was not known to another, because that one had not read the record yet. A caller that goes through the balancer sees the same. Change: an unknown job is looked up again after a read of the log's end; without that read the answer does not say not run.

--- a/libs/daemon/src/hornbeamfold/daemon/jobs.py
+++ b/libs/daemon/src/hornbeamfold/daemon/jobs.py
@@ -67,9 +67,17 @@
         """Return the state of a job."""
         if not self._follower.ready:
             return Refused(ErrorKind.STALE_VIEW, "This instance has not read the log yet.")
-        job = self._follower.view.jobs.get((organisation, job_id))
+        key = (organisation, job_id)
+        job = self._follower.view.jobs.get(key)
+        if job is not None:
+            return self._status(job)
+        # Another instance may have taken the job a moment ago.
+        confirmed = self._confirm(self._clock(), LOG_WAIT_MS)
+        job = self._follower.view.jobs.get(key)
         if job is None:
-            return Refused(ErrorKind.NOT_FOUND, f"No job {job_id} of {organisation} is known.")
+            ran = Ran.NOT_RUN if confirmed else Ran.UNKNOWN
+            detail = f"No job {job_id} of {organisation} is known."
+            return Refused(ErrorKind.NOT_FOUND, detail, ran)
         return self._status(job)
 
     def cancel(self, organisation: str, job_id: str) -> JobStatus | Refused:
