Divide the daemon's large modules by their jobs, and count silence anew after a pause

Reading them showed that a keeper that was paused counts the pause as silence of its worker: one failed exchange after it could report members as lost that another keeper had renewed meanwhile. Change: claims and their resolver, the ends of claims, the keeper set and the session with one worker, job ages, idempotent serving and slots have modules of their own; the tests follow their classes with the same assertions. A session that runs more than 2 s later than planned counts the silence of its worker from then on.

--- a/libs/bench/src/hornbeamfold/bench/slopes_keepers.py
+++ b/libs/bench/src/hornbeamfold/bench/slopes_keepers.py
@@ -181,8 +181,11 @@
                 parts.keepers._basis = ()
                 parts.keepers._reconcile()
 
+            def scan(parts: Parts = parts) -> None:
+                frozenset(parts.peers.leaving_workers)
+
             # The keepers that it starts never run, because this thread does not wait.
             yield Point("reconcile per worker", "ms", size, repeat, processor_ms(rank))
-            cost = processor_ms(parts.keepers._leaving_workers, 20)
+            cost = processor_ms(scan, 20)
             yield Point("scan for leaving workers per listed instance", "ms", size, repeat, cost)
         parts.keepers.stop()
--- a/libs/daemon/src/hornbeamfold/daemon/claims.py
+++ b/libs/daemon/src/hornbeamfold/daemon/claims.py
@@ -1,17 +1,18 @@
-"""Non-idempotent requests: claimed in the log before dispatch, resolved if their holder dies."""
+"""Non-idempotent requests: claimed in the log before their dispatch."""
 
 from collections.abc import Callable
 
 import eventlet
 
+from hornbeamfold.daemon.claim_ends import ask_worker, claim_outcome, end_event
 from hornbeamfold.daemon.clock import Clock
-from hornbeamfold.daemon.dispatch import Dispatcher, Slot
+from hornbeamfold.daemon.dispatch import Dispatcher
 from hornbeamfold.daemon.follower import Confirm, LogFollower
+from hornbeamfold.daemon.slots import Slot
 from hornbeamfold.logclient import LogWriter
-from hornbeamfold.membership import Freshness, PeerTable
+from hornbeamfold.membership import Freshness
 from hornbeamfold.model.errors import Done, ErrorKind, Outcome, Ran, Refused
 from hornbeamfold.model.events import (
-    ClaimDone,
     ClaimMade,
     ClaimMoved,
     ClaimReleased,
@@ -21,9 +22,8 @@
 from hornbeamfold.model.timing import CLAIM_KEEP_MS, LOG_WAIT_MS
 from hornbeamfold.model.topology import Worker
 from hornbeamfold.model.work import Claim, ClaimState, Request, request_task_id
-from hornbeamfold.telemetry import counter, get_logger, log_decision
+from hornbeamfold.telemetry import counter, log_decision
 from hornbeamfold.workers import (
-    LookedUp,
     NoReply,
     NotSent,
     RunBusy,
@@ -31,23 +31,12 @@
     RunFailed,
     RunOutcome,
     RunRefused,
-    RunState,
-    Voided,
-    VoidState,
     WorkerClient,
 )
 
-RESOLVE_MS = 1_000
-# A holder must be unheard for this long before its claims are resolved by others.
-HOLDER_SILENT_MS = 3_000
-LOOK_UP_MS = 1_000
 LOOK_UP_PAUSE_MS = 250
-# The clocks of workers and of the log service differ by less than this.
-CLOCK_SKEW_MS = 5_000
 MAX_DISPATCHED = 10_000
-MAX_LOGGED_ANSWER_BYTES = 200 * 1024
 
-logger = get_logger("hornbeamfold.daemon.claims")
 count_claims = counter("hornbeamfold_claims", "Claims on non-idempotent requests by outcome")
 
 Key = tuple[str, str]
@@ -55,7 +44,7 @@
 
 
 class ClaimService:
-    """The claims of one instance, and the duty to resolve those of dead holders."""
+    """The claims that this instance holds."""
 
     def __init__(
         self,
@@ -64,7 +53,6 @@
         writer: LogWriter,
         confirm: Confirm,
         freshness: Freshness,
-        peers: PeerTable,
         dispatcher: Dispatcher,
         client: WorkerClient,
         check_answer: CheckAnswer,
@@ -77,7 +65,6 @@
         self._writer = writer
         self._confirm = confirm
         self._freshness = freshness
-        self._peers = peers
         self._dispatcher = dispatcher
         self._client = client
         self._check_answer = check_answer
@@ -86,8 +73,6 @@
         self._draining = draining
         self._serving: set[Key] = set()
         self._dispatched: set[tuple[Key, int]] = set()
-        self._silent_since: dict[str, int] = {}
-        self._resolving: set[Key] = set()
 
     def serve(self, request: Request, digest: str, arrived: int) -> Outcome:
         """Return the answer of a non-idempotent request, running it at most once."""
@@ -97,14 +82,13 @@
         finally:
             self._serving.discard(request.key)
 
-    def run(self) -> None:
-        """Resolve open claims that nobody serves any more."""
-        while True:
-            eventlet.sleep(RESOLVE_MS / 1_000)
-            try:
-                self._resolve_all()
-            except Exception:
-                logger.exception("Resolving claims failed")
+    def is_serving(self, key: Key) -> bool:
+        """Return whether a call for the request is under way here."""
+        return key in self._serving
+
+    def was_sent(self, claim: Claim) -> bool:
+        """Return whether this instance sent the request under the claim."""
+        return (claim.key, claim.epoch) in self._dispatched
 
     def _serve(self, request: Request, digest: str, arrived: int) -> Outcome:
         # A retry may follow a claim that this view has not folded yet.
@@ -122,7 +106,7 @@
                     f"Request {request.request_id} exists with another body.",
                 )
             if claim is not None and claim.state == ClaimState.DONE:
-                return _outcome(claim)
+                return claim_outcome(claim)
             if claim is not None and claim.state == ClaimState.OPEN:
                 self._release_unsent(request, claim)
                 if not self._wait_for_end(request, claim):
@@ -136,15 +120,12 @@
 
     def _release_unsent(self, request: Request, claim: Claim) -> None:
         """Release an own claim that an earlier, refused call left behind without sending it."""
-        if claim.holder != self._incarnation or self._was_sent(claim):
+        if claim.holder != self._incarnation or self.was_sent(claim):
             return
         self._write_end(
             ClaimReleased(request.organisation, request.request_id, claim.epoch, "never sent")
         )
 
-    def _was_sent(self, claim: Claim) -> bool:
-        return (claim.key, claim.epoch) in self._dispatched
-
     def _wait_for_end(self, request: Request, claim: Claim) -> bool:
         """Wait until a claim is no longer open; return False once the deadline has passed."""
         while True:
@@ -231,6 +212,14 @@
         named = claim.worker == worker.name and claim.holder == self._incarnation
         check("I4 dispatched once", named and mark not in self._dispatched, f"{mark} {worker.name}")
         self._dispatched.add(mark)
+        self._forget_expired()
+
+    def _forget_expired(self) -> None:
+        """Drop what belongs to claims that the view no longer keeps."""
+        if len(self._dispatched) <= MAX_DISPATCHED:
+            return
+        claims = self._follower.view.claims
+        self._dispatched = {mark for mark in self._dispatched if mark[0] in claims}
 
     def _ended(
         self, request: Request, digest: str, claim: Claim, worker: Worker, result: RunOutcome
@@ -252,7 +241,7 @@
     def _ask(self, request: Request, worker: Worker, task: str, claim: Claim) -> RunOutcome:
         """Find out what became of a request whose reply was lost, until its deadline."""
         while True:
-            result = self._ask_once(worker, task, claim)
+            result = ask_worker(self._client, worker, task, claim)
             if result is not None and not isinstance(result, NoReply):
                 return result
             # The others resolve the claim once this instance has left.
@@ -261,28 +250,6 @@
                 return NoReply("The worker did not say whether it ran the request.")
             eventlet.sleep(LOOK_UP_PAUSE_MS / 1_000)
 
-    def _ask_once(self, worker: Worker, task: str, claim: Claim) -> RunOutcome | None:
-        """Look a task up and void it if the worker never saw it; None while it runs."""
-        seen = self._client.look_up(worker, task, LOOK_UP_MS)
-        if not isinstance(seen, LookedUp):
-            return NoReply(seen.detail)
-        if seen.state == RunState.RUNNING:
-            return None
-        if seen.state == RunState.FINISHED:
-            return RunDone(seen.answer, seen.request_id, seen.digest)
-        if seen.state == RunState.FAILED:
-            return RunFailed(seen.detail)
-        voided = self._client.void(worker, task, LOOK_UP_MS)
-        if not isinstance(voided, Voided):
-            return NoReply(f"The worker does not know the task: {voided.detail}")
-        if voided.state != VoidState.VOIDED:
-            return None
-        # A worker that lost its memory after the claim may have run the task before.
-        remembers = 0 <= voided.complete_since_ms < claim.claimed_ms - CLOCK_SKEW_MS
-        if not remembers:
-            return NoReply("The worker no longer remembers all requests since the claim.")
-        return RunRefused()
-
     def _move(self, request: Request, claim: Claim, slot: Slot) -> Claim | Refused | None:
         """Make the next worker durable before it gets the request; return the moved claim."""
         event = ClaimMoved(
@@ -321,7 +288,7 @@
 
     def _finish(self, claim: Claim, outcome: Outcome) -> None:
         count_claims(1, outcome="done" if isinstance(outcome, Done) else outcome.kind.value)
-        self._write_end(_end_event(claim, outcome))
+        self._write_end(end_event(claim, outcome))
 
     def _write_end(self, event: Event) -> None:
         """Append without waiting: the caller gets the outcome even if the log is down."""
@@ -329,114 +296,3 @@
 
     def _left(self, request: Request) -> int:
         return max(0, request.deadline_ms - self._wall())
-
-    def _resolve_all(self) -> None:
-        if not self._follower.ready or not self._freshness.may_start(self._clock()).granted:
-            return
-        now = self._clock()
-        self._forget_expired()
-        for claim in tuple(self._follower.view.open_claims.values()):
-            if claim.key in self._serving or claim.key in self._resolving:
-                continue
-            if not self._abandoned(claim, now):
-                continue
-            self._resolving.add(claim.key)
-            eventlet.spawn(self._resolve, claim)
-
-    def _forget_expired(self) -> None:
-        """Drop what belongs to claims that the view no longer keeps."""
-        if len(self._dispatched) <= MAX_DISPATCHED:
-            return
-        claims = self._follower.view.claims
-        self._dispatched = {mark for mark in self._dispatched if mark[0] in claims}
-        self._silent_since.clear()
-
-    def _abandoned(self, claim: Claim, now: int) -> bool:
-        """Return whether it is this instance's turn to resolve a claim."""
-        if claim.holder == self._incarnation:
-            return True
-        if self._peers.incarnation_live(claim.holder, now):
-            self._silent_since.pop(claim.holder, None)
-            return False
-        silent = now - self._silent_since.setdefault(claim.holder, now)
-        rank = self._peers.rank(f"{claim.organisation}/{claim.request_id}", now)
-        return silent >= HOLDER_SILENT_MS + rank * RESOLVE_MS
-
-    def _resolve(self, claim: Claim) -> None:
-        try:
-            event = self._resolution(claim)
-            if event is None:
-                return
-            log_decision(
-                "resolve",
-                type(event).__name__,
-                "the holder of the claim is gone",
-                organisation=claim.organisation,
-                request_id=claim.request_id,
-                worker=claim.worker,
-                epoch=claim.epoch,
-            )
-            self._writer.submit((event,)).wait(LOG_WAIT_MS)
-        finally:
-            self._resolving.discard(claim.key)
-
-    def _resolution(self, claim: Claim) -> Event | None:
-        """Return how a claim ends, or None while that can't be said yet."""
-        worker = self._follower.view.workers.get(claim.worker)
-        if worker is None:
-            return _unknown(claim, "The worker has left the configuration.")
-        task = request_task_id(claim.key, claim.epoch)
-        if claim.holder == self._incarnation and not self._was_sent(claim):
-            return ClaimReleased(claim.organisation, claim.request_id, claim.epoch, "never sent")
-        result = self._ask_once(worker, task, claim)
-        if result is None:
-            return None
-        if isinstance(result, RunDone):
-            return _end_event(claim, _checked(claim, result))
-        if isinstance(result, RunFailed):
-            return _end_event(claim, Refused(ErrorKind.FAILED, result.detail))
-        if isinstance(result, RunRefused):
-            return ClaimReleased(claim.organisation, claim.request_id, claim.epoch, "voided")
-        if self._wall() < claim.deadline_ms:
-            return None
-        return _unknown(claim, getattr(result, "detail", ""))
-
-
-def _outcome(claim: Claim) -> Outcome:
-    if claim.kind is None:
-        return Done(claim.answer, claim.worker)
-    return _refused(claim)
-
-
-def _refused(claim: Claim) -> Refused:
-    return Refused(claim.kind or ErrorKind.OUTCOME_UNKNOWN, claim.detail)
-
-
-def _checked(claim: Claim, done: RunDone) -> Outcome:
-    """Return the answer that a worker kept, if it belongs to the claim."""
-    if done.request_id == claim.request_id and done.digest == claim.digest:
-        return Done(done.answer, claim.worker)
-    return Refused(ErrorKind.OUTCOME_UNKNOWN, "The worker kept the answer of another request.")
-
-
-def _end_event(claim: Claim, outcome: Outcome) -> ClaimDone:
-    if isinstance(outcome, Refused):
-        return ClaimDone(
-            claim.organisation, claim.request_id, claim.epoch, "", outcome.kind, outcome.detail
-        )
-    if len(outcome.answer.encode()) > MAX_LOGGED_ANSWER_BYTES:
-        return ClaimDone(
-            claim.organisation,
-            claim.request_id,
-            claim.epoch,
-            "",
-            ErrorKind.ANSWER_TOO_LARGE,
-            f"The answer has more than {MAX_LOGGED_ANSWER_BYTES} bytes.",
-        )
-    return ClaimDone(claim.organisation, claim.request_id, claim.epoch, outcome.answer)
-
-
-def _unknown(claim: Claim, detail: str) -> ClaimDone:
-    return ClaimDone(
-        claim.organisation, claim.request_id, claim.epoch, "", ErrorKind.OUTCOME_UNKNOWN, detail
-    )
--- a/libs/daemon/src/hornbeamfold/daemon/dispatch.py
+++ b/libs/daemon/src/hornbeamfold/daemon/dispatch.py
@@ -1,6 +1,6 @@
 """Chooses workers for requests, queues requests when all slots are taken, and sends them."""
 
-from collections.abc import Callable, Set
+from collections.abc import Set
 from dataclasses import dataclass
 from random import Random
 
@@ -10,6 +10,7 @@
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower
 from hornbeamfold.daemon.keeper import JOB_TASK_PREFIX
+from hornbeamfold.daemon.slots import Slot
 from hornbeamfold.membership import PeerTable, rank_names
 from hornbeamfold.model.errors import ErrorKind, Refused
 from hornbeamfold.model.events import (
@@ -88,33 +89,6 @@
     granted: Event
 
 
-class Slot:
-    """A place on a worker that a request holds from the choice to the end of its run."""
-
-    def __init__(self, worker: Worker, choice: Choice, on_release: Callable[[str], None]) -> None:
-        self._worker = worker
-        self._choice = choice
-        self._on_release = on_release
-        self._held = True
-
-    @property
-    def worker(self) -> Worker:
-        """The chosen worker."""
-        return self._worker
-
-    @property
-    def choice(self) -> Choice:
-        """Why it was chosen."""
-        return self._choice
-
-    def release(self) -> None:
-        """Give the place back; later calls do nothing."""
-        if not self._held:
-            return
-        self._held = False
-        self._on_release(self._worker.name)
-
-
 class Dispatcher:
     """The routing state of one instance."""
 
--- /dev/null
+++ b/libs/daemon/src/hornbeamfold/daemon/idempotent.py
@@ -0,0 +1,135 @@
+"""Serves idempotent requests: retries within the budget, and a second copy of a slow one."""
+
+import eventlet
+from eventlet.event import Event
+
+from hornbeamfold.daemon.clock import Clock
+from hornbeamfold.daemon.dispatch import Dispatcher
+from hornbeamfold.daemon.slots import Slot
+from hornbeamfold.membership import Freshness
+from hornbeamfold.model.errors import Done, ErrorKind, Outcome, Ran, Refused
+from hornbeamfold.model.invariants import check
+from hornbeamfold.model.work import Request, request_task_id
+from hornbeamfold.telemetry import get_logger
+from hornbeamfold.workers import NoReply, RunBusy, RunDone, RunFailed, RunOutcome
+
+# Requests that fail on this many workers are themselves to blame.
+MAX_FAILED_WORKERS = 2
+
+logger = get_logger("hornbeamfold.daemon.idempotent")
+
+
+class IdempotentService:
+    """The idempotent requests of one instance."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        freshness: Freshness,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        wall: Clock,
+    ) -> None:
+        self._incarnation = incarnation
+        self._freshness = freshness
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._wall = wall
+        self._runs = 0
+
+    def serve(self, request: Request, digest: str) -> Outcome:
+        """Dispatch until one worker answers, within the deadline and the retry budget."""
+        failed: set[str] = set()
+        tried: set[str] = set()
+        detail = ""
+        ran = Ran.NOT_RUN
+        while True:
+            slot = self._dispatcher.acquire(request, frozenset(tried))
+            if isinstance(slot, Refused):
+                return _after_tries(slot, ran, detail)
+            # The request may have waited for its slot longer than the view stays fresh.
+            permit = self._freshness.may_start(self._clock())
+            if not permit.granted:
+                slot.release()
+                return _after_tries(Refused(ErrorKind.STALE_VIEW, permit.reason), ran, detail)
+            result = self._run_hedged(request, digest, slot, frozenset(tried))
+            if isinstance(result, RunDone):
+                return checked_answer(request, digest, result, slot.worker.name)
+            tried.add(slot.worker.name)
+            detail = getattr(result, "detail", type(result).__name__)
+            if isinstance(result, RunFailed):
+                ran = Ran.RAN
+                failed.add(slot.worker.name)
+                if len(failed) >= MAX_FAILED_WORKERS:
+                    return Refused(ErrorKind.FAILED, detail)
+            if isinstance(result, NoReply) and ran == Ran.NOT_RUN:
+                ran = Ran.UNKNOWN
+            if self._wall() >= request.deadline_ms:
+                kind = ErrorKind.DEADLINE_PASSED if ran == Ran.NOT_RUN else _kind_of(ran)
+                return Refused(kind, f"The deadline passed; last: {detail}", ran)
+            if not isinstance(result, RunBusy) and not self._dispatcher.may_retry(request):
+                kind = ErrorKind.OVERLOADED if ran == Ran.NOT_RUN else _kind_of(ran)
+                return Refused(kind, f"The retry budget is used up; last: {detail}", ran)
+
+    def _run_hedged(
+        self, request: Request, digest: str, slot: Slot, tried: frozenset[str]
+    ) -> RunOutcome:
+        """Run on one worker, and on a second one if an urgent request takes unusually long."""
+        delay_ms = self._dispatcher.hedge_delay(request) if request.urgent else None
+        first = eventlet.spawn(self._run, request, digest, slot)
+        if delay_ms is None:
+            return first.wait()
+        done = Event()
+        first.link(_send_result, done)
+        with eventlet.Timeout(delay_ms / 1_000, False):
+            return done.wait()
+        fresh = self._freshness.may_start(self._clock()).granted
+        exclude = tried | {slot.worker.name}
+        second_slot = self._dispatcher.hedge(request, exclude) if fresh else None
+        if second_slot is None:
+            return first.wait()
+        second = eventlet.spawn(self._run, request, digest, second_slot)
+        second.link(_send_result, done)
+        result = done.wait()
+        if isinstance(result, RunDone):
+            return result
+        # The quicker one gave no answer, so the other one decides.
+        other = second if first.dead else first
+        later = other.wait()
+        return later if isinstance(later, RunDone) else result
+
+    def _run(self, request: Request, digest: str, slot: Slot) -> RunOutcome:
+        self._runs += 1
+        task = f"{request_task_id(request.key, self._runs)}/{self._incarnation}"
+        return self._dispatcher.run(request, digest, task, slot)
+
+
+def checked_answer(request: Request, digest: str, done: RunDone, worker: str) -> Outcome:
+    """Return the answer if it belongs to the request, else a refusal."""
+    matches = done.request_id == request.request_id and done.digest == digest
+    if matches:
+        return Done(done.answer, worker)
+    logger.error(
+        "A worker answered another request",
+        extra={"worker": worker, "request_id": request.request_id, "got": done.request_id},
+    )
+    check("I7 the answer matches its request id", False, f"{worker}: {done.request_id}")
+    return Refused(ErrorKind.OUTCOME_UNKNOWN, "The worker answered another request.")
+
+
+def _send_result(thread: object, done: Event) -> None:
+    """Pass the result of the first of several green threads on."""
+    if done.ready():
+        return
+    done.send(thread.wait())  # type: ignore[attr-defined]
+
+
+def _kind_of(ran: Ran) -> ErrorKind:
+    return ErrorKind.FAILED if ran == Ran.RAN else ErrorKind.OUTCOME_UNKNOWN
+
+
+def _after_tries(refused: Refused, ran: Ran, detail: str) -> Refused:
+    """Return a refusal that also accounts for earlier tries of the same request."""
+    if ran == Ran.NOT_RUN:
+        return refused
+    return Refused(_kind_of(ran), f"{refused.detail} Last try: {detail}", ran)
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -14,13 +14,17 @@
 from hornbeamfold.daemon.frontend import DaemonFrontend, DaemonPeerFrontend
 from hornbeamfold.daemon.heartbeat import heartbeat_source
 from hornbeamfold.daemon.http import serve_http
+from hornbeamfold.daemon.idempotent import IdempotentService, checked_answer
+from hornbeamfold.daemon.job_ages import JobAges
 from hornbeamfold.daemon.jobs import JobService
-from hornbeamfold.daemon.keepers import JobAges, Keepers
+from hornbeamfold.daemon.keepers import Keepers
 from hornbeamfold.daemon.operators import OperatorService
 from hornbeamfold.daemon.peering import Peering
 from hornbeamfold.daemon.placer import Placer
-from hornbeamfold.daemon.requests import RequestService, checked_answer
+from hornbeamfold.daemon.requests import RequestService
+from hornbeamfold.daemon.resolver import ClaimResolver
 from hornbeamfold.daemon.snapshots import Snapshotter
+from hornbeamfold.daemon.worker_session import SessionParts
 from hornbeamfold.logclient import Expired, LogClient, LogFailure, LogWriter, follow
 from hornbeamfold.membership import Freshness, ListClient, PeerTable
 from hornbeamfold.model.timing import HEARTBEAT_MS
@@ -54,7 +58,7 @@
     freshness: Freshness
     dispatcher: Dispatcher
     requests: RequestService
-    claims: ClaimService
+    resolver: ClaimResolver
     keepers: Keepers
     placer: Placer
     peering: Peering
@@ -112,20 +116,21 @@
     )
     ages = JobAges(clock)
 
-    keepers = Keepers(
-        settings.name,
-        follower,
-        writer,
-        peers,
-        freshness,
-        workers,
-        ages,
-        clock,
-        wall,
-        settings.sync_interval_ms,
-        dispatcher.worker_reported,
-        lambda: peers.leaving_workers,
+    session_parts = SessionParts(
+        name=settings.name,
+        follower=follower,
+        writer=writer,
+        freshness=freshness,
+        client=workers,
+        ages=ages,
+        clock=clock,
+        wall=wall,
+        interval_ms=settings.sync_interval_ms,
+        on_load=dispatcher.worker_reported,
+        leaving=lambda: peers.leaving_workers,
+        kept=lambda: len(keepers.kept),
     )
+    keepers = Keepers(session_parts, peers)
 
     def leaving_workers() -> frozenset[str]:
         return keepers.leaving_workers | peers.leaving_workers
@@ -152,7 +157,6 @@
         writer,
         confirm,
         freshness,
-        peers,
         dispatcher,
         workers,
         checked_answer,
@@ -160,6 +164,18 @@
         wall,
         lambda: lifecycle.draining,
     )
+    resolver = ClaimResolver(
+        incarnation,
+        follower,
+        writer,
+        freshness,
+        peers,
+        workers,
+        claims.is_serving,
+        claims.was_sent,
+        clock,
+        wall,
+    )
     peering = Peering(
         settings,
         peers,
@@ -181,10 +197,9 @@
         ),
     )
     requests = RequestService(
-        incarnation,
         follower,
         confirm,
-        freshness,
+        IdempotentService(incarnation, freshness, dispatcher, clock, wall),
         dispatcher,
         claims,
         peering.find_answer,
@@ -215,7 +230,7 @@
         freshness,
         dispatcher,
         requests,
-        claims,
+        resolver,
         keepers,
         placer,
         peering,
@@ -289,7 +304,7 @@
     parts.peering.start(server.address)
     eventlet.spawn(parts.keepers.run)
     eventlet.spawn(parts.placer.run)
-    eventlet.spawn(parts.claims.run)
+    eventlet.spawn(parts.resolver.run)
     eventlet.spawn(parts.dispatcher.run_queue)
     eventlet.spawn(parts.snapshotter.run)
 
--- a/libs/daemon/src/hornbeamfold/daemon/placer.py
+++ b/libs/daemon/src/hornbeamfold/daemon/placer.py
@@ -7,7 +7,7 @@
 
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower
-from hornbeamfold.daemon.keepers import JobAges
+from hornbeamfold.daemon.job_ages import JobAges
 from hornbeamfold.logclient import LogWriter
 from hornbeamfold.membership import Freshness, PeerTable
 from hornbeamfold.model.events import Event, JobJudged, JobPlaced, JobStopping
--- a/libs/daemon/tests/test_claims.py
+++ b/libs/daemon/tests/test_claims.py
@@ -1,12 +1,12 @@
-"""Tests of claims: at most one dispatch, moves, releases and the end of dead holders' claims."""
+"""Tests of claims: at most one dispatch, moves and releases."""
 
 import unittest
 from types import SimpleNamespace
 
 from daemon_cases import WALL_MS, Clock, Cluster, Writer, follower_of, worker
 
-from hornbeamfold.daemon.claims import CLOCK_SKEW_MS, ClaimService
-from hornbeamfold.daemon.requests import checked_answer
+from hornbeamfold.daemon.claims import ClaimService
+from hornbeamfold.daemon.idempotent import checked_answer
 from hornbeamfold.membership import Permit
 from hornbeamfold.model.errors import Done, ErrorKind, Ran, Refused
 from hornbeamfold.model.events import ClaimDone, ClaimMade, ClaimMoved, ClaimReleased
@@ -27,7 +27,6 @@
 REQUEST = Request("a", "r", "quote", "{}", False, True, WALL_MS + 60_000)
 DONE = RunDone("answer", "r", "d")
 UNKNOWN = LookedUp(RunState.UNKNOWN, complete_since_ms=0)
-FINISHED = LookedUp(RunState.FINISHED, "answer", request_id="r", digest="d")
 
 
 class Dispatcher:
@@ -53,28 +52,23 @@
 
 
 class ClaimsTest(unittest.TestCase):
-    def service(self, *outcomes, looked_up=UNKNOWN, voided=None, holder="me"):
+    def service(self, *outcomes, looked_up=UNKNOWN):
         self.cluster = Cluster()
         self.writer = Writer(self.cluster)
         self.dispatcher = Dispatcher(*outcomes)
         self.draining = False
         self.permit = Permit(True, "fresh")
-        self.voids = 0
-
-        def void(*arguments):
-            self.voids += 1
-            return voided or Voided(VoidState.VOIDED, 0)
-
-        client = SimpleNamespace(look_up=lambda *arguments: looked_up, void=void)
-        peers = SimpleNamespace(rank=lambda *arguments: 0, incarnation_live=lambda *a: False)
+        client = SimpleNamespace(
+            look_up=lambda *arguments: looked_up,
+            void=lambda *arguments: Voided(VoidState.VOIDED, 0),
+        )
         freshness = SimpleNamespace(may_start=lambda now_ms: self.permit)
         return ClaimService(
-            holder,
+            "me",
             follower_of(self.cluster),
             self.writer,
             lambda since_ms, timeout_ms: True,
             freshness,
-            peers,
             self.dispatcher,
             client,
             checked_answer,
@@ -136,33 +130,6 @@
         self.assertEqual(outcome.effective_ran, Ran.UNKNOWN)
         self.assertEqual(self.claim().state, ClaimState.OPEN)
 
-    def test_resolving_a_dead_holder(self) -> None:
-        """Guards against a release without a void, and against "not run" of a forgotten run."""
-        forgot = Voided(VoidState.VOIDED, WALL_MS + CLOCK_SKEW_MS)
-        for name, looked_up, voided, event, voids in (
-            ("finished", FINISHED, None, ClaimDone, 0),
-            ("failed", LookedUp(RunState.FAILED), None, ClaimDone, 0),
-            ("running", LookedUp(RunState.RUNNING), None, None, 0),
-            ("never seen", UNKNOWN, Voided(VoidState.VOIDED, 0), ClaimReleased, 1),
-            ("arrived meanwhile", UNKNOWN, Voided(VoidState.RUNNING, 0), None, 1),
-            ("worker restarted", UNKNOWN, forgot, None, 1),
-            ("no void", UNKNOWN, NoReply("404"), None, 1),
-            ("worker dead", NotSent("refused"), None, None, 0),
-        ):
-            with self.subTest(name):
-                service = self.service(looked_up=looked_up, voided=voided)
-                self.cluster.fold(ClaimMade(*REQUEST.key, "d", "you", "w0", WALL_MS + 60_000))
-                found = service._resolution(self.claim())
-                self.assertEqual(type(found) if found else None, event)
-                self.assertEqual(self.voids, voids)
-
-    def test_an_own_claim_that_was_never_sent_is_released(self) -> None:
-        """Guards against a claim that stays open after its call was refused."""
-        service = self.service()
-        self.cluster.fold(ClaimMade(*REQUEST.key, "d", "me", "w0", WALL_MS + 60_000))
-        self.assertIsInstance(service._resolution(self.claim()), ClaimReleased)
-        self.assertEqual(self.voids, 0)
-
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/libs/daemon/tests/test_resolver.py
@@ -0,0 +1,70 @@
+"""Tests of the end of claims whose holder is gone."""
+
+import unittest
+from types import SimpleNamespace
+
+from daemon_cases import WALL_MS, Clock, Cluster, Writer, follower_of
+
+from hornbeamfold.daemon.claim_ends import CLOCK_SKEW_MS
+from hornbeamfold.daemon.resolver import ClaimResolver
+from hornbeamfold.membership import Permit
+from hornbeamfold.model.events import ClaimDone, ClaimMade, ClaimReleased, Event
+from hornbeamfold.model.work import Request
+from hornbeamfold.workers import LookedUp, NoReply, NotSent, RunState, Voided, VoidState
+
+REQUEST = Request("a", "r", "quote", "{}", False, True, WALL_MS + 60_000)
+UNKNOWN = LookedUp(RunState.UNKNOWN, complete_since_ms=0)
+FINISHED = LookedUp(RunState.FINISHED, "answer", request_id="r", digest="d")
+
+
+class ResolverTest(unittest.TestCase):
+    def resolver(self, looked_up, voided):
+        self.cluster = Cluster()
+        self.voids = 0
+
+        def void(*arguments):
+            self.voids += 1
+            return voided
+
+        self.service = ClaimResolver(
+            "me",
+            follower_of(self.cluster),
+            Writer(self.cluster),
+            SimpleNamespace(may_start=lambda now_ms: Permit(True, "fresh")),
+            SimpleNamespace(rank=lambda *arguments: 0, incarnation_live=lambda *a: False),
+            SimpleNamespace(look_up=lambda *arguments: looked_up, void=void),
+            lambda key: False,
+            lambda claim: False,
+            Clock(),
+            Clock(WALL_MS),
+        )
+
+    def resolve(self) -> Event | None:
+        return self.service.resolution(self.cluster.view.claims[REQUEST.key])
+
+    def test_resolving_a_dead_holder(self) -> None:
+        """Guards against a release without a void, and against "not run" of a forgotten run."""
+        forgot = Voided(VoidState.VOIDED, WALL_MS + CLOCK_SKEW_MS)
+        for name, looked_up, voided, event, voids in (
+            ("finished", FINISHED, None, ClaimDone, 0),
+            ("failed", LookedUp(RunState.FAILED), None, ClaimDone, 0),
+            ("running", LookedUp(RunState.RUNNING), None, None, 0),
+            ("never seen", UNKNOWN, Voided(VoidState.VOIDED, 0), ClaimReleased, 1),
+            ("arrived meanwhile", UNKNOWN, Voided(VoidState.RUNNING, 0), None, 1),
+            ("worker restarted", UNKNOWN, forgot, None, 1),
+            ("no void", UNKNOWN, NoReply("404"), None, 1),
+            ("worker dead", NotSent("refused"), None, None, 0),
+        ):
+            with self.subTest(name):
+                self.resolver(looked_up, voided)
+                self.cluster.fold(ClaimMade(*REQUEST.key, "d", "you", "w0", WALL_MS + 60_000))
+                found = self.resolve()
+                self.assertEqual(type(found) if found else None, event)
+                self.assertEqual(self.voids, voids)
+
+    def test_an_own_claim_that_was_never_sent_is_released(self) -> None:
+        """Guards against a claim that stays open after its call was refused."""
+        self.resolver(UNKNOWN, None)
+        self.cluster.fold(ClaimMade(*REQUEST.key, "d", "me", "w0", WALL_MS + 60_000))
+        self.assertIsInstance(self.resolve(), ClaimReleased)
+        self.assertEqual(self.voids, 0)
--- a/libs/daemon/tests/test_keepers.py
+++ b/libs/daemon/tests/test_worker_session.py
@@ -1,10 +1,13 @@
-"""Tests of the reports that keepers write."""
+"""Tests of a keeper's exchanges with one worker: the reports that it writes, and silence."""
 
 import unittest
-from dataclasses import dataclass
 
 from hornbeamfold.daemon.instance import Lifecycle, build
-from hornbeamfold.daemon.keepers import PENDING_AGAIN_MS, REPORT_AGAIN_MS, _Session
+from hornbeamfold.daemon.worker_session import (
+    PENDING_AGAIN_MS,
+    REPORT_AGAIN_MS,
+    WorkerSession,
+)
 from hornbeamfold.model import Entry, MemberReport, MembersReported, MemberState, Record
 from hornbeamfold.settings import Settings
 
@@ -13,11 +16,11 @@
 REPORT = MemberReport("o", "j", 1, "w", MemberState.FINISHED)
 
 
-@dataclass
 class Time:
     """A clock that the test moves."""
 
-    now_ms: int = 0
+    def __init__(self) -> None:
+        self.now_ms = 0
 
 
 class ReportTest(unittest.TestCase):
@@ -25,13 +28,13 @@
         settings = Settings("a", "z", "east", FREE, FREE, NOWHERE, NOWHERE, 3_600_000)
         self.time = Time()
         self.parts = build(settings, Lifecycle(), lambda: self.time.now_ms)
-        self.session = _Session("w", 0)
+        self.session = WorkerSession("w", self.parts.keepers._parts)
 
     def report_for(self, duration_ms: int) -> int:
         """Report the same member every second; return the tickets that wait then."""
         ends_ms = self.time.now_ms + duration_ms
         while self.time.now_ms < ends_ms:
-            self.parts.keepers._report(self.session, (REPORT,))
+            self.session._report((REPORT,))
             self.time.now_ms += 1_000
         return self.parts.writer.pending
 
