Let the measurement take reasons that not every seed has

Cause: with three seeds make measure failed at its end (KeyError): one seed had lost work by a reason that another had not. Its test runs one seed, so it passed. Change: a reason that a seed lacks counts as 0 hours there; a test with rows of different reasons.

--- a/libs/bench/src/hornbeamfold/bench/measure.py
+++ b/libs/bench/src/hornbeamfold/bench/measure.py
@@ -148,8 +148,9 @@
 
 
 def spreads(rows: tuple[Row, ...]) -> dict[str, Spread]:
-    """Return each figure over the seeds."""
-    return {name: spread(row[name] for row in rows) for name in rows[0]}
+    """Return each figure over the seeds; hours by reason are 0 in a seed without that reason."""
+    names = dict.fromkeys(name for row in rows for name in row)
+    return {name: spread(row.get(name, 0.0) for row in rows) for name in names}
 
 
 def judge(goal: Goal, trial: Trial) -> Verdict:
--- a/libs/bench/tests/test_measure.py
+++ b/libs/bench/tests/test_measure.py
@@ -6,7 +6,7 @@
 from time import process_time
 from unittest.mock import patch
 
-from hornbeamfold.bench.measure import Goal, Trial, flatten, judge, main, own, ratio
+from hornbeamfold.bench.measure import Goal, Trial, flatten, judge, main, own, ratio, spreads
 
 # Processor time, because other runs share the machine.
 QUICK_BOUND_S = 40.0
@@ -49,6 +49,12 @@
 
 
 class JudgeTest(unittest.TestCase):
+    def test_a_reason_that_not_every_seed_has_counts_as_none_there(self) -> None:
+        """Guards against a measurement that fails after all its runs."""
+        found = spreads(({"lost": 1.0}, {"lost": 3.0, "lost_by_move": 2.0}, {"lost": 2.0}))
+        self.assertEqual((found["lost"].median, found["lost_by_move"].median), (2.0, 0.0))
+        self.assertEqual(found["lost_by_move"].largest, 2.0)
+
     def test_the_median_decides_and_each_seed_counts(self) -> None:
         """Guards against a goal that one lucky seed meets."""
         trial = Trial(({"p": 4.0}, {"p": 6.0}, {"p": 7.0}), ({"p": 10.0}, {"p": 10.0}, {"p": 10.0}))
