--- a/libs/bench/src/hornbeamfold/bench/soak.py
+++ b/libs/bench/src/hornbeamfold/bench/soak.py
@@ -25,6 +25,11 @@
 SHORTEST, LONGEST = 0.3, 1.1
 
 
+async def end_standin_faults(scene: Scene) -> None:
+    """End the faults of the stand-ins: the end of some faults publishes a change in the log."""
+    await scene.end_faults()
+
+
 def random_fault(rng: Random) -> Fault:
     """Return a fault, or two at once, with a random length."""
     fault = rng.choice(FAULTS)
@@ -34,6 +39,7 @@
             fault,
             name=f"{fault.name} & {other.name}",
             inject=both(fault.inject, other.inject),
+            end=both(end_standin_faults, fault.end),
             blocks_starts=fault.blocks_starts or other.blocks_starts,
             not_applicable={**fault.not_applicable, **other.not_applicable},
         )
