Keep one rule for names and one type of heartbeat source

Cause: the read-through found the rule for names written in the settings and in the RPC fields, the type of the heartbeat source twice in the daemon, a lookup of peers that nothing calls, and a constant named after another use. Change: the rule stands in the model and both call it; the second type and the lookup are gone. Behaviour and tests are as they were.

--- a/libs/daemon/src/hornbeamfold/daemon/follower.py
+++ b/libs/daemon/src/hornbeamfold/daemon/follower.py
@@ -43,7 +43,7 @@
 RELAY_ENTRIES = 4_096
 LOAD_LIMIT = 500
 CONFIRM_LIMIT = 500
-LOAD_PAUSE_MS = 200
+CONFIRM_PAUSE_MS = 200
 
 logger = get_logger("hornbeamfold.daemon.follower")
 count_entries = counter("hornbeamfold_log_entries_folded", "Log entries folded into the view")
@@ -197,7 +197,7 @@
             return
         # Those who wait for this read must not wait until their own deadlines.
         self._changed.notify()
-        sleep(LOAD_PAUSE_MS / 1_000)
+        sleep(CONFIRM_PAUSE_MS / 1_000)
 
     def _fold(self, entry: Entry) -> None:
         if entry.offset < self._view.offset:
--- a/libs/daemon/src/hornbeamfold/daemon/peering.py
+++ b/libs/daemon/src/hornbeamfold/daemon/peering.py
@@ -7,6 +7,7 @@
 
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower
+from hornbeamfold.daemon.heartbeat import HeartbeatSource
 from hornbeamfold.logclient import Signal, decode_record
 from hornbeamfold.membership import (
     Freshness,
@@ -31,7 +32,6 @@
 count_relayed = counter("hornbeamfold_relayed_entries", "Log entries fetched from peers")
 
 T = TypeVar("T")
-HeartbeatSource = Callable[[int], PeerHeartbeat]
 
 
 class Peering:
--- a/libs/membership/src/hornbeamfold/membership/peers.py
+++ b/libs/membership/src/hornbeamfold/membership/peers.py
@@ -167,13 +167,6 @@
             for state in self._peers.values()
         )
 
-    def name_of(self, incarnation: str) -> str:
-        """Return the name of the peer with an incarnation, or an empty string."""
-        for name, state in self._peers.items():
-            if state.heartbeat.incarnation == incarnation:
-                return name
-        return ""
-
     def region_heard(self, region: str, now_ms: int) -> bool:
         """Return whether this instance is in a region or hears one that is."""
         return any(peer_region == region for _, peer_region in self.live(now_ms))
--- a/libs/rpc/src/hornbeamfold/rpc/fields.py
+++ b/libs/rpc/src/hornbeamfold/rpc/fields.py
@@ -5,8 +5,8 @@
 from ipaddress import ip_address
 
 from hornbeamfold.model.errors import ErrorKind, Refused
+from hornbeamfold.model.naming import MAX_NAME_CHARACTERS, has_name_characters
 
-MAX_NAME_CHARACTERS = 128
 MAX_BODY_BYTES = 65_536
 MAX_ACCELERATORS = 1_024
 MAX_SIZE = 1_000_000
@@ -30,13 +30,10 @@
         return Refused(ErrorKind.INVALID, "; ".join(self._faults))
 
     def name(self, path: str, value: str) -> str:
-        """Check a name.
-
-        Task ids join names with "/", so a name that contains it could collide with another one.
-        """
+        """Check a name."""
         if not 1 <= len(value) <= MAX_NAME_CHARACTERS:
             self.add(path, f"must have 1 to {MAX_NAME_CHARACTERS} characters, has {len(value)}")
-        elif not value.isprintable() or value.strip() != value or "/" in value:
+        elif not has_name_characters(value):
             self.add(path, 'must be printable, without "/" and outer spaces')
         return value
 
--- a/libs/settings/src/hornbeamfold/settings/rules.py
+++ b/libs/settings/src/hornbeamfold/settings/rules.py
@@ -7,9 +7,9 @@
 from types import MappingProxyType
 from urllib.parse import urlsplit
 
+from hornbeamfold.model.naming import MAX_NAME_CHARACTERS, has_name_characters
 from hornbeamfold.model.timing import STOP_BOUND_MS
 
-MAX_NAME_CHARACTERS = 128
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 # Returns the value to use, or raises ValueError with the problem.
@@ -28,8 +28,7 @@
 
 def is_name(value: str) -> bool:
     """Tell whether a name can be part of a task id or of a pair of zones."""
-    fits = 1 <= len(value) <= MAX_NAME_CHARACTERS
-    return fits and value.isprintable() and value.strip() == value and "/" not in value
+    return 1 <= len(value) <= MAX_NAME_CHARACTERS and has_name_characters(value)
 
 
 def _name(value: object) -> object:
