--- /dev/null
+++ b/libs/batch/src/hornbeamfold/batch/spec.py
@@ -0,0 +1,132 @@
+"""Batch jobs: steps of tasks, with what each task needs and where it may run."""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class TaskRef(NamedTuple):
+    """Names one task of a job; all three numbers count from 0."""
+
+    occurrence: int
+    step: int
+    index: int
+
+
+@dataclass(frozen=True)
+class Resources:
+    """An amount of processor time (thousandths of a core), memory (MB) and accelerators."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def times(self, count: int) -> "Resources":
+        """Return this amount for so many tasks."""
+        return Resources(
+            self.cpu_millis * count, self.memory_mb * count, self.accelerators * count
+        )
+
+    def fits(self, room: "Resources") -> bool:
+        """Tell whether this amount is within the room."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+@dataclass(frozen=True)
+class Step:
+    """`count` equal tasks that begin when all tasks of the steps in `after` are done.
+
+    `estimate_ms` is the caller's rough estimate of one task. `best_effort` tasks use the processor
+    time that others leave, so their `cpu_millis` do not count against a worker.
+    """
+
+    count: int
+    demand: Resources
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    one_rack: bool = False
+    required_label: str = ""
+    preferred_rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    best_effort: bool = False
+    image: str = ""
+    latency_target_ms: int = 0
+    max_unavailable: int = 0
+
+    @property
+    def reserved(self) -> Resources:
+        """What one task takes from its worker's capacity."""
+        if not self.best_effort:
+            return self.demand
+        return Resources(0, self.demand.memory_mb, self.demand.accelerators)
+
+
+@dataclass(frozen=True)
+class BatchJob:
+    """A job as it was accepted, with the terms of its queue at that time.
+
+    All times are in milliseconds; `submitted_ms` and `start_at_ms` are Unix times. With
+    `repetitions` the steps run that many times, each occurrence `interval_ms` after the one before.
+    """
+
+    job_id: str
+    queue: str
+    service: str
+    organisation: str
+    payload: str
+    steps: tuple[Step, ...]
+    priority: int
+    max_attempts: int
+    stretch: float
+    slack_ms: int
+    submitted_ms: int
+    repetitions: int = 0
+    start_at_ms: int = 0
+    interval_ms: int = 0
+
+    @property
+    def occurrences(self) -> int:
+        """How often the steps run."""
+        return max(1, self.repetitions)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Return the Unix time before which an occurrence must not begin."""
+        if not self.repetitions:
+            return self.submitted_ms
+        return self.start_at_ms + occurrence * self.interval_ms
+
+    @property
+    def scheduled(self) -> bool:
+        """Whether the job runs at set times."""
+        return self.repetitions > 0
+
+    @property
+    def long_running(self) -> bool:
+        """Whether some step runs until the job is cancelled."""
+        return any(step.long_running for step in self.steps)
+
+    @property
+    def accelerators(self) -> int:
+        """How many accelerators all tasks of the job's steps need together."""
+        return sum(step.count * step.demand.accelerators for step in self.steps)
--- /dev/null
+++ b/libs/batch/src/hornbeamfold/batch/workers.py
@@ -0,0 +1,63 @@
+"""Workers as they describe themselves, and what they say about runs."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from hornbeamfold.batch.spec import Resources, TaskRef
+
+
+@dataclass(frozen=True)
+class Worker:
+    """One incarnation of a worker; `born_ms` (Unix) tells incarnations with one id apart."""
+
+    worker_id: str
+    born_ms: int
+    service: str
+    address: str
+    availability_zone: str
+    capacity: Resources
+    labels: frozenset[str] = frozenset()
+    rack: str = ""
+    draining: bool = False
+    drain_remaining_ms: int = 0
+    cold_remaining_ms: int = 0
+
+
+class RunEnd(StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LEASE_EXPIRED = "lease_expired"
+    PEER_ENDED = "peer_ended"  # another member of the gang ended
+    PEERS_MISSING = "peers_missing"  # the gang was not whole in time
+    LOST = "lost"  # the worker is gone, or never had the run
+
+
+@dataclass(frozen=True)
+class RunName:
+    """One run of one task of a job."""
+
+    job_id: str
+    task: TaskRef
+    run: int
+
+
+@dataclass(frozen=True)
+class RunningTask:
+    """A run that a worker lists as running; `percent` is its progress or its share at work."""
+
+    name: RunName
+    checkpoint: str
+    percent: float
+
+
+@dataclass(frozen=True)
+class EndedTask:
+    """An end that a worker lists; `number` counts the ends of its incarnation from 1."""
+
+    number: int
+    name: RunName
+    end: RunEnd
+    checkpoint: str
--- /dev/null
+++ b/libs/coordinator/src/hornbeamfold/coordinator/__init__.py
@@ -0,0 +1,7 @@
+"""Election, journal of progress, worker sessions and the planning loop."""
+
+from hornbeamfold.coordinator.coordination import Coordination
+from hornbeamfold.coordinator.election import Election
+from hornbeamfold.coordinator.term import TermParts
+
+__all__ = ["Coordination", "Election", "TermParts"]
--- /dev/null
+++ b/libs/coordinator/src/hornbeamfold/coordinator/book.py
@@ -0,0 +1,237 @@
+"""The coordinator's book: jobs that have not ended, and the runs that take room on workers."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from hornbeamfold.batch import (
+    BatchJob,
+    Clock,
+    JobProgress,
+    JobState,
+    Resources,
+    RunEnd,
+    RunName,
+    RunningTask,
+    Step,
+    TaskPhase,
+    TaskRef,
+    Worker,
+)
+from hornbeamfold.coordinator.tracked import TrackedJob
+from hornbeamfold.telemetry import counter, get_logger
+
+logger = get_logger("hornbeamfold.coordinator.book")
+_ends = counter("hornbeamfold_run_ends", "Ends of runs by kind.")
+
+
+@dataclass(frozen=True)
+class Run:
+    """A run that is recorded and whose end is not; it takes room until its end is known.
+
+    `settled_ms` is when it became certain that the worker has the start order or never will.
+    `moved_ms` is when its progress last changed. All times are on the coordinator's clock.
+    """
+
+    name: RunName
+    worker_id: str
+    born_ms: int
+    reserved: Resources
+    begun_ms: int
+    settled_ms: int | None = None
+    stop_reason: str = ""
+    percent: float = 0.0
+    moved_ms: int = 0
+    checkpoint: str = ""
+
+
+class Book:
+    """Jobs and runs. Every change marks the job so that the journal records it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._jobs: dict[str, TrackedJob] = {}
+        self._runs: dict[RunName, Run] = {}
+        self._by_worker: dict[str, dict[RunName, None]] = {}
+        self._changed: set[str] = set()
+        self._ended: dict[str, JobState] = {}
+
+    @property
+    def jobs(self) -> Mapping[str, TrackedJob]:
+        """The jobs that have not ended."""
+        return self._jobs
+
+    @property
+    def runs(self) -> Mapping[RunName, Run]:
+        """The runs that take room."""
+        return self._runs
+
+    def runs_on(self, worker_id: str) -> tuple[Run, ...]:
+        """Return the runs on one worker."""
+        return tuple(self._runs[name] for name in self._by_worker.get(worker_id, ()))
+
+    def used_on(self, worker_id: str) -> Resources:
+        """Return the room that runs take on one worker."""
+        used = Resources()
+        for name in self._by_worker.get(worker_id, ()):
+            used = used + self._runs[name].reserved
+        return used
+
+    def step_of(self, name: RunName) -> Step | None:
+        """Return the step of a run, if its job has not ended."""
+        tracked = self._jobs.get(name.job_id)
+        return tracked.job.steps[name.task.step] if tracked is not None else None
+
+    def add(self, job: BatchJob, progress: JobProgress) -> None:
+        """Track a job; runs that its progress records take room from now on."""
+        if job.job_id in self._jobs or job.job_id in self._ended:
+            return
+        tracked = TrackedJob(job, progress)
+        self._jobs[job.job_id] = tracked
+        now = self._clock()
+        for ref, task in tracked.tasks.items():
+            if task.phase is not TaskPhase.ACTIVE:
+                continue
+            # Orders of an earlier coordinator are refused once the worker knows this one's token.
+            name = RunName(job.job_id, ref, task.run)
+            self._add_run(
+                Run(
+                    name,
+                    task.worker_id,
+                    task.born_ms,
+                    job.steps[ref.step].reserved,
+                    now,
+                    settled_ms=now,
+                    moved_ms=now,
+                    checkpoint=task.checkpoint,
+                )
+            )
+
+    def _add_run(self, run: Run) -> None:
+        self._runs[run.name] = run
+        self._by_worker.setdefault(run.worker_id, {})[run.name] = None
+
+    def take_changed(self) -> set[str]:
+        """Return the jobs that changed since the last call."""
+        changed = self._changed
+        self._changed = set()
+        return changed
+
+    @property
+    def has_changes(self) -> bool:
+        """Whether some job changed since `take_changed`."""
+        return bool(self._changed)
+
+    def recorded_form(self, job_id: str) -> tuple[JobState, Mapping]:
+        """Return the state and the tasks of a job, as the journal records them."""
+        tracked = self._jobs.get(job_id)
+        if tracked is None:
+            return self._ended[job_id], {}
+        return tracked.state, tracked.tasks
+
+    def begin(self, job_id: str, refs: Iterable[TaskRef], workers: Iterable[Worker]) -> list[Run]:
+        """Record that runs of these tasks begin, all with one number; return them."""
+        tracked = self._jobs[job_id]
+        refs = tuple(refs)
+        number = tracked.next_run(refs)
+        now = self._clock()
+        begun: list[Run] = []
+        for ref, worker in zip(refs, workers, strict=True):
+            task = tracked.begin(ref, number, worker.worker_id, worker.born_ms)
+            run = Run(
+                RunName(job_id, ref, number),
+                worker.worker_id,
+                worker.born_ms,
+                tracked.job.steps[ref.step].reserved,
+                now,
+                moved_ms=now,
+                checkpoint=task.checkpoint,
+            )
+            self._add_run(run)
+            begun.append(run)
+        self._changed.add(job_id)
+        return begun
+
+    def settle(self, name: RunName) -> None:
+        """Note that the worker has a run's start order, or never will have it."""
+        run = self._runs.get(name)
+        if run is not None and run.settled_ms is None:
+            self._runs[name] = replace(run, settled_ms=self._clock())
+
+    def note_running(self, task: RunningTask) -> None:
+        """Note the progress of a run that its worker lists."""
+        run = self._runs.get(task.name)
+        if run is None:
+            return
+        moved = task.percent != run.percent or run.moved_ms == 0
+        self._runs[task.name] = replace(
+            run,
+            percent=task.percent,
+            moved_ms=self._clock() if moved else run.moved_ms,
+            checkpoint=task.checkpoint or run.checkpoint,
+        )
+
+    def want_stopped(self, name: RunName, reason: str) -> Run | None:
+        """Note that a run is to be stopped; return it unless that was noted before."""
+        run = self._runs.get(name)
+        if run is None or run.stop_reason:
+            return None
+        self._runs[name] = replace(run, stop_reason=reason)
+        return self._runs[name]
+
+    def end(self, name: RunName, end: RunEnd, checkpoint: str = "") -> tuple[RunName, ...]:
+        """Record an end; return runs of the same gang that must be stopped because of it."""
+        run = self._runs.pop(name, None)
+        if run is None:
+            return ()
+        self._by_worker[run.worker_id].pop(name, None)
+        tracked = self._jobs.get(name.job_id)
+        _ends(1, end=end.value)
+        logger.info(
+            "run_ended",
+            extra={
+                "request": name.job_id,
+                "task": list(name.task),
+                "run": name.run,
+                "worker": run.worker_id,
+                "end": end.value,
+                "stop_reason": run.stop_reason,
+                "ran_ms": self._clock() - run.begun_ms,
+                "percent": run.percent,
+            },
+        )
+        if tracked is None:
+            return ()
+        if not tracked.finish(name, end, checkpoint or run.checkpoint):
+            return ()
+        if end is RunEnd.FAILED:
+            tracked.add_avoided(name.task, run.worker_id)
+        self._changed.add(name.job_id)
+        if tracked.ended:
+            return self._close(tracked)
+        if end is RunEnd.DONE:
+            return ()
+        return self._other_members(tracked, name)
+
+    def _other_members(self, tracked: TrackedJob, name: RunName) -> tuple[RunName, ...]:
+        others: list[RunName] = []
+        for ref in tracked.gang_refs(name.task):
+            other = RunName(name.job_id, ref, name.run)
+            if other != name and other in self._runs:
+                others.append(other)
+        return tuple(others)
+
+    def _close(self, tracked: TrackedJob) -> tuple[RunName, ...]:
+        job_id = tracked.job.job_id
+        self._ended[job_id] = tracked.state
+        del self._jobs[job_id]
+        self._changed.add(job_id)
+        logger.info("job_ended", extra={"request": job_id, "state": tracked.state.value})
+        return tuple(name for name in self._runs if name.job_id == job_id)
+
+    def cancel(self, job_id: str) -> tuple[RunName, ...]:
+        """Cancel a job; return its runs, which must be stopped."""
+        tracked = self._jobs.get(job_id)
+        if tracked is None:
+            return ()
+        tracked.cancel()
+        return self._close(tracked)
--- /dev/null
+++ b/libs/coordinator/src/hornbeamfold/coordinator/coordination.py
@@ -0,0 +1,63 @@
+"""Runs the election for ever, and a term whenever this instance is the coordinator."""
+
+import eventlet
+
+from hornbeamfold.coordinator.election import Election
+from hornbeamfold.coordinator.term import Term, TermParts
+from hornbeamfold.ledger import Replica
+from hornbeamfold.telemetry import gauge, get_logger, logged
+
+logger = get_logger("hornbeamfold.coordinator.coordination")
+
+CHECK_MS = 50
+
+
+class Coordination:
+    """Whether this instance coordinates, and its present term."""
+
+    def __init__(self, parts: TermParts, replica: Replica, election: Election) -> None:
+        self._parts = parts
+        self._replica = replica
+        self._election = election
+        self._term: Term | None = None
+        self._stopping = False
+        self._last_epoch = 0
+        gauge("hornbeamfold_coordinator_epoch", "Epoch coordinated here, or 0", self._own_epoch)
+
+    def _own_epoch(self) -> int:
+        return self._term.epoch if self.coordinating and self._term is not None else 0
+
+    @property
+    def coordinating(self) -> bool:
+        """Whether this instance is the coordinator, as far as it knows."""
+        return self._term is not None and self._term.active
+
+    def run(self) -> None:
+        """Watch the coordinator record; claim, begin and end terms."""
+        while not self._stopping:
+            self._check()
+            eventlet.sleep(CHECK_MS / 1_000)
+
+    def _check(self) -> None:
+        present = self._replica.coordinator
+        term = self._term
+        if term is not None and term.active:
+            if present is not None and present.epoch > term.epoch:
+                term.depose(f"epoch {present.epoch} of {present.incarnation}")
+            return
+        if self._election.is_own(present):
+            assert present is not None
+            if present.epoch > self._last_epoch:
+                self._last_epoch = present.epoch
+                self._term = Term(
+                    self._parts, present.epoch, self._election.sequence_of(present.epoch)
+                )
+                eventlet.spawn_n(logged(self._term.run))
+                return
+        self._election.claim_if_due()
+
+    def stop(self, timeout_ms: int) -> None:
+        """Claim nothing more; hand a present term over."""
+        self._stopping = True
+        if self._term is not None and self._term.active:
+            self._term.resign(timeout_ms)
--- /dev/null
+++ b/libs/coordinator/src/hornbeamfold/coordinator/election.py
@@ -0,0 +1,122 @@
+"""Decides when an instance claims to be the coordinator.
+
+The store decides who is: it accepts the records of one producer with the highest epoch only.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from hornbeamfold.batch import Clock, Fence, Fenced, Stored, TopicPort
+from hornbeamfold.coordinator.journal import BEAT_MS, PRODUCER
+from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
+from hornbeamfold.telemetry import counter, get_logger
+
+logger = get_logger("hornbeamfold.coordinator.election")
+_claims = counter("hornbeamfold_claims", "Claims to be the coordinator by outcome.")
+
+# Three missed beats. Fewer would depose a coordinator whose append is slow once.
+SILENCE_MS = 3 * BEAT_MS + 100
+# Spreads the claims of several instances.
+JITTER_MS = 250
+# A round trip longer than this crosses regions. A coordinator there spends it on every append.
+NEAR_ROUND_TRIP_MS = 25
+FAR_DELAY_MS = 400
+CLAIM_TIMEOUT_MS = 1_200
+# A claim that the store took is read back well within this time.
+CLAIM_PAUSE_MS = 700
+# Two claims of one epoch with the same sequence number would look like one that is repeated.
+MAX_FIRST_SEQUENCE = 1 << 40
+
+
+class Election:
+    """Watches for silence of the coordinator, and claims."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        topic: TopicPort,
+        replica: Replica,
+        clock: Clock,
+        may_claim: Callable[[], bool],
+        round_trip_ms: Callable[[], float],
+    ) -> None:
+        self._incarnation = incarnation
+        self._topic = topic
+        self._replica = replica
+        self._clock = clock
+        self._may_claim = may_claim
+        self._round_trip_ms = round_trip_ms
+        self._random = Random(incarnation)
+        self._last_read_ms: int | None = None
+        self._silence_ms = 0
+        self._jitter_ms = self._random.randrange(JITTER_MS)
+        self._claimed_epoch = 0
+        self._claimed_ms: int | None = None
+        self._sequences: dict[int, int] = {}
+
+    def sequence_of(self, epoch: int) -> int:
+        """Return the sequence number with which an epoch was claimed here."""
+        return self._sequences[epoch]
+
+    def on_read(self, succeeded: bool) -> None:
+        """Count the time in which the log was read and the coordinator wrote nothing."""
+        now = self._clock()
+        if not succeeded or self._last_read_ms is None:
+            # Silence that an instance could not have heard is not the coordinator's.
+            self._silence_ms = 0
+            self._last_read_ms = now if succeeded else None
+            return
+        self._silence_ms += min(now - self._last_read_ms, SILENCE_MS // 2)
+        self._last_read_ms = now
+
+    def heard(self) -> None:
+        """Note that the coordinator wrote something."""
+        self._silence_ms = 0
+
+    def is_own(self, record: CoordinatorRecord | None) -> bool:
+        """Tell whether this incarnation is the coordinator that a record names."""
+        return (
+            record is not None
+            and record.incarnation == self._incarnation
+            and not record.resigned
+            and record.epoch in self._sequences
+        )
+
+    def claim_if_due(self) -> None:
+        """Claim the next epoch if the present coordinator is silent or has resigned."""
+        now = self._clock()
+        if self._claimed_ms is not None and now - self._claimed_ms < CLAIM_PAUSE_MS:
+            return
+        present = self._replica.coordinator
+        wait_ms = self._jitter_ms
+        if self._round_trip_ms() > NEAR_ROUND_TRIP_MS:
+            wait_ms += FAR_DELAY_MS
+        if present is not None and not present.resigned:
+            wait_ms += SILENCE_MS
+        if self._silence_ms < wait_ms or not self._may_claim():
+            return
+        self._claim(present.epoch if present is not None else 0, now)
+
+    def _claim(self, known_epoch: int, now: int) -> None:
+        epoch = max(known_epoch, self._claimed_epoch) + 1
+        sequence = self._random.randrange(1, MAX_FIRST_SEQUENCE)
+        self._sequences[epoch] = sequence
+        self._claimed_epoch = epoch
+        record = encode_coordinator(CoordinatorRecord(self._incarnation, epoch))
+        outcome = self._topic.append([record], Fence(PRODUCER, epoch, sequence), CLAIM_TIMEOUT_MS)
+        # Whatever the answer, only the record that is read from the log makes a coordinator.
+        self._claimed_ms = self._clock()
+        self._jitter_ms = self._random.randrange(JITTER_MS)
+        taken = isinstance(outcome, Stored)
+        if isinstance(outcome, Fenced):
+            self._silence_ms = 0
+        _claims(1, taken=taken)
+        logger.info(
+            "claimed",
+            extra={
+                "epoch": epoch,
+                "silence_ms": self._silence_ms,
+                "outcome": type(outcome).__name__,
+                "took_ms": self._claimed_ms - now,
+            },
+        )
--- /dev/null
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -0,0 +1,370 @@
+"""One term of office of the coordinator: plans, records, and drives the workers' sessions."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+import eventlet
+from eventlet.event import Event
+
+from hornbeamfold.batch import (
+    Bounds,
+    Clock,
+    EndedTask,
+    JobProgress,
+    LeaseReport,
+    OperatorState,
+    Refusal,
+    RunEnd,
+    RunName,
+    TaskRef,
+    TopicPort,
+    Worker,
+    WorkerPort,
+)
+from hornbeamfold.coordinator.book import Book, Run
+from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.journal import Journal
+from hornbeamfold.coordinator.session import CLOCK_RATE, Session, SessionHooks
+from hornbeamfold.coordinator.survey import occupants, ready_steps, rooms
+from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
+from hornbeamfold.scheduling import Assignment, Plan, plan
+from hornbeamfold.telemetry import get_logger, histogram, logged
+
+logger = get_logger("hornbeamfold.coordinator.term")
+_plan_ms = histogram("hornbeamfold_plan", "ms", "Time of one planning pass.")
+
+# Passes follow one another no faster, so that ends and submissions that come together share one.
+MIN_PASS_GAP_MS = 15
+# Without any event a pass looks for tasks whose time has come.
+MAX_PASS_GAP_MS = 200
+# An earlier coordinator renewed leases for so long after the last record that it wrote.
+EARLIER_RENEWALS_MS = 3_500
+# A run whose progress stands still for so long is started elsewhere: two reports without change.
+STALLED_MS = 5_000
+
+
+@dataclass(frozen=True)
+class TermParts:
+    """What a term works with; `knowledge_ms` is when all of it was last confirmed, if ever."""
+
+    incarnation: str
+    topic: TopicPort
+    workers: WorkerPort
+    replica: Replica
+    operator: Callable[[], OperatorState]
+    registry: Callable[[], Mapping[str, Worker]]
+    knowledge_ms: Callable[[], int | None]
+    bounds: Bounds
+    clock: Clock
+    wall: Clock
+
+
+class Term:
+    """Everything that this instance does as coordinator under one epoch."""
+
+    def __init__(self, parts: TermParts, epoch: int, sequence: int) -> None:
+        self._parts = parts
+        self._epoch = epoch
+        self._record = CoordinatorRecord(parts.incarnation, epoch)
+        self._book = Book(parts.clock)
+        self._health = WorkerHealth(parts.clock)
+        self._sessions: dict[str, Session] = {}
+        self._active = True
+        self._planning = True
+        self._wake: Event = Event()
+        self._orphans_until_ms = 0
+        self._began_ms = parts.clock()
+        self._journal = Journal(
+            parts.topic,
+            self._book,
+            epoch,
+            sequence,
+            lambda: encode_coordinator(self._record),
+            self.depose,
+            parts.clock,
+        )
+        self._hooks = SessionHooks(
+            is_active=lambda: self._active,
+            knowledge_ms=parts.knowledge_ms,
+            on_report=self._on_report,
+            on_ended=self._on_ended,
+            on_settled=self._book.settle,
+            on_not_started=self._on_not_started,
+            on_gone=self._on_gone,
+            on_fenced=self.depose,
+            is_listed=lambda name: name in self._book.runs,
+            after_store=self._journal.after_store,
+        )
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of this term, which is the fencing token of its orders."""
+        return self._epoch
+
+    @property
+    def active(self) -> bool:
+        """Whether the term goes on."""
+        return self._active
+
+    def depose(self, reason: str) -> None:
+        """End the term at once: another instance coordinates, or may."""
+        if not self._active:
+            return
+        self._active = False
+        self._journal.stop()
+        self._parts.replica.remove_listener(self._on_job)
+        self._notify()
+        logger.warning("term_ended", extra={"epoch": self._epoch, "reason": reason})
+
+    def resign(self, timeout_ms: int) -> bool:
+        """Stop planning and tell the others that the next one may claim; renewals go on."""
+        self._planning = False
+        record = CoordinatorRecord(self._parts.incarnation, self._epoch, resigned=True)
+        stored = self._journal.close_with(encode_coordinator(record), timeout_ms)
+        logger.info("resigned", extra={"epoch": self._epoch, "stored": stored})
+        return stored
+
+    def run(self) -> None:
+        """Load the book, open the sessions, and plan until the term ends."""
+        replica = self._parts.replica
+        replica.add_listener(self._on_job)
+        for job_id in tuple(replica.job_ids):
+            self._on_job(job_id)
+        lease_ms = int(self._parts.bounds.lease_max_ms / CLOCK_RATE)
+        self._orphans_until_ms = self._began_ms + EARLIER_RENEWALS_MS + lease_ms
+        logger.info(
+            "term_began",
+            extra={
+                "epoch": self._epoch,
+                "jobs": len(self._book.jobs),
+                "runs": len(self._book.runs),
+            },
+        )
+        eventlet.spawn_n(logged(self._journal.run))
+        while self._active and self._planning:
+            self._update_sessions()
+            self._end_orphans()
+            self._plan_once()
+            self._wake = Event()
+            eventlet.sleep(MIN_PASS_GAP_MS / 1_000)
+            self._wake.wait(timeout=(MAX_PASS_GAP_MS - MIN_PASS_GAP_MS) / 1_000)
+
+    def _notify(self) -> None:
+        if not self._wake.ready():
+            self._wake.send(None)
+
+    def _on_job(self, job_id: str) -> None:
+        """Take a job that was added or cancelled from the replica into the book."""
+        replica = self._parts.replica
+        job = replica.job(job_id)
+        if job is None:
+            return
+        progress: JobProgress = replica.progress(job_id)
+        if job_id not in self._book.jobs:
+            if progress.state.value in ("completed", "failed", "cancelled"):
+                return
+            self._book.add(job, progress)
+        if replica.is_cancelled(job_id):
+            logger.info("job_cancelled", extra={"request": job_id})
+            self._stop_all(self._book.cancel(job_id), "cancelled")
+            self._journal.notify()
+        self._notify()
+
+    def _update_sessions(self) -> None:
+        registry = self._parts.registry()
+        for worker_id, worker in registry.items():
+            session = self._sessions.get(worker_id)
+            if session is not None:
+                session.update(worker)
+                continue
+            self._open_session(worker)
+        for worker_id, session in tuple(self._sessions.items()):
+            if worker_id in registry:
+                continue
+            session.unregister()
+            if not session.reachable and not self._book.runs_on(worker_id):
+                session.close()
+                del self._sessions[worker_id]
+
+    def _open_session(self, worker: Worker) -> None:
+        session = Session(
+            worker,
+            self._epoch,
+            self._parts.workers,
+            self._hooks,
+            self._parts.bounds,
+            self._parts.clock,
+            max(self._orphans_until_ms, self._parts.clock()),
+        )
+        self._sessions[worker.worker_id] = session
+        for run in self._book.runs_on(worker.worker_id):
+            if run.born_ms != worker.born_ms:
+                self._end(run.name, RunEnd.LOST)
+        eventlet.spawn_n(logged(session.run))
+
+    def _end_orphans(self) -> None:
+        """End runs on workers that nobody has heard of since the leases there expired."""
+        if self._parts.clock() < self._orphans_until_ms:
+            return
+        for run in tuple(self._book.runs.values()):
+            if run.worker_id not in self._sessions:
+                self._end(run.name, RunEnd.LOST)
+
+    def _on_report(self, session: Session, report: LeaseReport, sent_ms: int) -> None:
+        """Compare what a worker runs with the book."""
+        worker = session.worker
+        listed: set[RunName] = set()
+        unknown = 0
+        for task in report.running:
+            listed.add(task.name)
+            run = self._book.runs.get(task.name)
+            if run is None or run.worker_id != worker.worker_id:
+                unknown += 1
+                session.stop_unknown(task.name)
+                continue
+            self._book.settle(task.name)
+            self._book.note_running(task)
+        session.set_foreign(unknown)
+        listed.update(each.name for each in report.ended)
+        for run in self._book.runs_on(worker.worker_id):
+            if run.name in listed or run.settled_ms is None or run.settled_ms >= sent_ms:
+                if run.stop_reason and run.name in listed:
+                    session.stop(run)
+                continue
+            self._end(run.name, RunEnd.LOST)
+        self._stop_stalled(worker.worker_id)
+        self._notify()
+
+    def _stop_stalled(self, worker_id: str) -> None:
+        now = self._parts.clock()
+        for run in self._book.runs_on(worker_id):
+            step = self._book.step_of(run.name)
+            if step is None or step.long_running or run.stop_reason or run.settled_ms is None:
+                continue
+            if now - run.moved_ms > STALLED_MS and run.percent < 100:
+                self._health.set_aside(worker_id, "stalled")
+                self._book.jobs[run.name.job_id].add_avoided(run.name.task, worker_id)
+                self._stop_all((run.name,), "stalled")
+
+    def _on_ended(self, session: Session, ended: tuple[EndedTask, ...]) -> None:
+        worker_id = session.worker.worker_id
+        for each in ended:
+            run = self._book.runs.get(each.name)
+            if run is None or run.worker_id != worker_id:
+                continue
+            if each.end is RunEnd.DONE:
+                self._health.succeeded(worker_id)
+            if each.end is RunEnd.FAILED:
+                self._health.failed(worker_id, each.name.job_id)
+            self._end(each.name, each.end, each.checkpoint)
+
+    def _on_not_started(self, run: Run, reason: Refusal) -> None:
+        if reason is Refusal.UNHEALTHY:
+            self._health.set_aside(run.worker_id, "unhealthy")
+        if reason is Refusal.GONE and (session := self._sessions.get(run.worker_id)):
+            self._on_gone(session, "another incarnation answers")
+            return
+        self._end(run.name, RunEnd.LOST)
+
+    def _on_gone(self, session: Session, reason: str) -> None:
+        runs = self._book.runs_on(session.worker.worker_id)
+        if runs:
+            logger.warning(
+                "runs_lost",
+                extra={
+                    "worker": session.worker.worker_id,
+                    "reason": reason,
+                    "requests": sorted({run.name.job_id for run in runs}),
+                },
+            )
+        for run in runs:
+            self._end(run.name, RunEnd.LOST)
+
+    def _end(self, name: RunName, end: RunEnd, checkpoint: str = "") -> None:
+        self._stop_all(self._book.end(name, end, checkpoint), "job ended or gang broken")
+        self._journal.notify()
+        self._notify()
+
+    def _stop_all(self, names: Sequence[RunName], reason: str) -> None:
+        for name in names:
+            run = self._book.want_stopped(name, reason)
+            if run is None:
+                continue
+            session = self._sessions.get(run.worker_id)
+            if session is not None:
+                session.stop(run)
+
+    def _plan_once(self) -> None:
+        began = self._parts.clock()
+        operator = self._parts.operator()
+        free = rooms(self._sessions.values(), self._book, self._health, operator)
+        steps = ready_steps(
+            self._book, operator, self._parts.wall(), began, self._parts.bounds, len(free)
+        )
+        if not steps or not free:
+            return
+        made = plan(steps, free, occupants(self._book, began), began)
+        _plan_ms(self._parts.clock() - began)
+        self._carry_out(made)
+
+    def _carry_out(self, made: Plan) -> None:
+        for preemption in made.preemptions:
+            logger.info(
+                "preempted",
+                extra={
+                    "request": preemption.name.job_id,
+                    "task": list(preemption.name.task),
+                    "worker": preemption.worker_id,
+                    "for": preemption.for_job,
+                },
+            )
+        self._stop_all([each.name for each in made.preemptions], "preempted")
+        groups: dict[tuple[str, int, int], list[Assignment]] = {}
+        for assignment in made.assignments:
+            key = (assignment.job_id, assignment.task.occurrence, assignment.task.step)
+            groups.setdefault(key, []).append(assignment)
+        begun: list[Run] = []
+        for (job_id, _, _), group in groups.items():
+            begun.extend(self._begin(job_id, group))
+        if begun:
+            self._journal.after_store(lambda: self._send(begun))
+
+    def _begin(self, job_id: str, group: Sequence[Assignment]) -> list[Run]:
+        tracked = self._book.jobs[job_id]
+        step = tracked.job.steps[group[0].task.step]
+        workers = {each.worker_id: self._sessions[each.worker_id].worker for each in group}
+        logger.info(
+            "placed",
+            extra={
+                "request": job_id,
+                "step": group[0].task.step,
+                "tasks": [each.task.index for each in group],
+                "workers": [each.worker_id for each in group],
+                "reason": group[0].reason,
+                "priority": tracked.job.priority,
+                "waited_ms": self._parts.clock()
+                - tracked.ready_since(group[0].task.occurrence, group[0].task.step, 0),
+            },
+        )
+        if step.gang:
+            refs: list[TaskRef] = [each.task for each in group]
+            return self._book.begin(job_id, refs, [workers[each.worker_id] for each in group])
+        runs: list[Run] = []
+        for each in group:
+            runs.extend(self._book.begin(job_id, [each.task], [workers[each.worker_id]]))
+        return runs
+
+    def _send(self, runs: Sequence[Run]) -> None:
+        """Send the start orders of runs that are now in the store."""
+        if not self._active:
+            return
+        for run in runs:
+            tracked = self._book.jobs.get(run.name.job_id)
+            session = self._sessions.get(run.worker_id)
+            current = self._book.runs.get(run.name)
+            if current is None:
+                continue
+            if tracked is None or session is None or current.stop_reason:
+                self._end(run.name, RunEnd.LOST)
+                continue
+            session.start(current, tracked.job.payload)
--- /dev/null
+++ b/libs/gateway/src/hornbeamfold/gateway/__init__.py
@@ -0,0 +1,7 @@
+"""Decisions for callers of batch jobs."""
+
+from hornbeamfold.gateway.access import Access, authorise
+from hornbeamfold.gateway.jobs import JobCalls
+from hornbeamfold.gateway.readiness import not_ready_reason
+
+__all__ = ["Access", "JobCalls", "authorise", "not_ready_reason"]
--- /dev/null
+++ b/libs/gateway/src/hornbeamfold/gateway/readiness.py
@@ -0,0 +1,20 @@
+"""Whether an instance should get new connections."""
+
+from collections.abc import Iterable
+
+from hornbeamfold.ledger import Follower
+
+# An instance that has not reached the store for so long sends callers elsewhere.
+MAX_AGE_MS = 2_500
+
+
+def not_ready_reason(draining: bool, followers: Iterable[tuple[str, Follower]]) -> str:
+    """Return why the instance is not ready, or an empty text."""
+    if draining:
+        return "draining"
+    for name, follower in followers:
+        if not follower.loaded:
+            return f"{name} has not been read yet"
+        if follower.age_ms() > MAX_AGE_MS:
+            return f"{name} was confirmed {follower.age_ms():.0f} ms ago"
+    return ""
--- /dev/null
+++ b/libs/ledger/src/hornbeamfold/ledger/__init__.py
@@ -0,0 +1,21 @@
+"""Records of batch jobs in a keyed log: codec, replica and follower."""
+
+from hornbeamfold.ledger.codec import (
+    CoordinatorRecord,
+    encode_cancel,
+    encode_coordinator,
+    encode_job,
+    encode_progress,
+)
+from hornbeamfold.ledger.follower import Follower
+from hornbeamfold.ledger.replica import Replica
+
+__all__ = [
+    "CoordinatorRecord",
+    "Follower",
+    "Replica",
+    "encode_cancel",
+    "encode_coordinator",
+    "encode_job",
+    "encode_progress",
+]
--- /dev/null
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -0,0 +1,152 @@
+"""Codec of the records: keys and JSON values of jobs, cancellations, progress and the coordinator.
+
+Fields with their default value are left out, and finished jobs keep only their state.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import MISSING, dataclass, field, fields, is_dataclass
+from typing import Any
+
+import msgspec
+
+from hornbeamfold.batch import (
+    ENDED,
+    BatchJob,
+    JobProgress,
+    JobState,
+    KeyedRecord,
+    TaskPhase,
+    TaskProgress,
+    TaskRef,
+)
+
+JOB = "job/"
+CANCEL = "cancel/"
+PROGRESS = "progress/"
+COORDINATOR = "coordinator"
+
+
+@dataclass(frozen=True)
+class CoordinatorRecord:
+    """Which incarnation of which instance coordinates, under which epoch."""
+
+    incarnation: str
+    epoch: int
+    resigned: bool = False
+
+
+@dataclass(frozen=True)
+class _Progress:
+    """A progress record: rows of the tasks that have run.
+
+    `done` has rows of occurrence, step and the indexes that are done. `active` has rows of
+    occurrence, step, index, run, worker, its birth, failures and checkpoint; `waiting` has the
+    same without the worker and its birth.
+    """
+
+    state: JobState
+    done: list[tuple[int, int, list[int]]] = field(default_factory=list)
+    active: list[tuple[int, int, int, int, str, int, int, str]] = field(
+        default_factory=list
+    )
+    waiting: list[tuple[int, int, int, int, int, str]] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class _StateOnly:
+    state: JobState
+
+
+def encode_job(job: BatchJob) -> KeyedRecord:
+    """Return the record of an accepted job."""
+    return KeyedRecord(JOB + job.job_id, msgspec.json.encode(_compact(job)))
+
+
+def decode_job(value: bytes) -> BatchJob:
+    """Return the job of a record; raises msgspec.MsgspecError for another writer's bytes."""
+    return msgspec.json.decode(value, type=BatchJob)
+
+
+def encode_cancel(job_id: str, organisation: str) -> KeyedRecord:
+    """Return the record of a cancellation."""
+    return KeyedRecord(CANCEL + job_id, msgspec.json.encode({"organisation": organisation}))
+
+
+def encode_coordinator(record: CoordinatorRecord) -> KeyedRecord:
+    """Return the record that names the coordinator."""
+    return KeyedRecord(COORDINATOR, msgspec.json.encode(_compact(record)))
+
+
+def decode_coordinator(value: bytes) -> CoordinatorRecord:
+    """Return the coordinator that a record names; raises msgspec.MsgspecError."""
+    return msgspec.json.decode(value, type=CoordinatorRecord)
+
+
+def encode_progress(
+    job_id: str, state: JobState, tasks: Mapping[TaskRef, TaskProgress]
+) -> KeyedRecord:
+    """Return the progress record of a job."""
+    document: dict[str, Any] = {"state": state.value}
+    if state not in ENDED:
+        document.update(_task_rows(tasks.items()))
+    return KeyedRecord(PROGRESS + job_id, msgspec.json.encode(document))
+
+
+def _task_rows(tasks: Iterable[tuple[TaskRef, TaskProgress]]) -> dict[str, list[Any]]:
+    done: dict[tuple[int, int], list[int]] = {}
+    active: list[tuple[Any, ...]] = []
+    waiting: list[tuple[Any, ...]] = []
+    for ref, task in tasks:
+        if task.phase is TaskPhase.DONE:
+            done.setdefault((ref.occurrence, ref.step), []).append(ref.index)
+            continue
+        if task.phase is TaskPhase.ACTIVE:
+            active.append(
+                (*ref, task.run, task.worker_id, task.born_ms, task.failures, task.checkpoint)
+            )
+            continue
+        waiting.append((*ref, task.run, task.failures, task.checkpoint))
+    rows = {
+        "done": [(*key, indexes) for key, indexes in done.items()],
+        "active": active,
+        "waiting": waiting,
+    }
+    return {name: listed for name, listed in rows.items() if listed}
+
+
+def decode_state(value: bytes) -> JobState:
+    """Return only the state of a progress record; raises msgspec.MsgspecError."""
+    return msgspec.json.decode(value, type=_StateOnly).state
+
+
+def decode_progress(value: bytes) -> JobProgress:
+    """Return a progress record with its tasks; raises msgspec.MsgspecError."""
+    document = msgspec.json.decode(value, type=_Progress)
+    tasks: dict[TaskRef, TaskProgress] = {}
+    for occurrence, step, indexes in document.done:
+        for index in indexes:
+            tasks[TaskRef(occurrence, step, index)] = TaskProgress(TaskPhase.DONE)
+    for occurrence, step, index, run, worker, born, failures, checkpoint in document.active:
+        tasks[TaskRef(occurrence, step, index)] = TaskProgress(
+            TaskPhase.ACTIVE, run, worker, born, failures, checkpoint
+        )
+    for occurrence, step, index, run, failures, checkpoint in document.waiting:
+        tasks[TaskRef(occurrence, step, index)] = TaskProgress(
+            TaskPhase.WAITING, run, "", 0, failures, checkpoint
+        )
+    return JobProgress(document.state, tasks)
+
+
+def _compact(item: Any) -> Any:
+    """Return a data class as a mapping without the fields that have their default value."""
+    if isinstance(item, tuple):
+        return [_compact(part) for part in item]
+    if not is_dataclass(item):
+        return item
+    document: dict[str, Any] = {}
+    for each in fields(item):
+        value = getattr(item, each.name)
+        if each.default is not MISSING and value == each.default:
+            continue
+        document[each.name] = _compact(value)
+    return document
--- a/libs/model/src/hornbeamfold/model/errors.py
+++ b/libs/model/src/hornbeamfold/model/errors.py
@@ -9,7 +9,10 @@
 
     INVALID = "invalid"
     UNKNOWN_ORGANISATION = "unknown_organisation"
+    UNAUTHENTICATED = "unauthenticated"
+    BODY_TOO_LARGE = "body_too_large"
     NOT_FOUND = "not_found"
+    UNKNOWN_JOB = "unknown_job"
     DEADLINE_PASSED = "deadline_passed"
     DUPLICATE_REQUEST = "duplicate_request"
     INFEASIBLE = "infeasible"
@@ -57,6 +60,13 @@
     ErrorKind.UNKNOWN_ORGANISATION: Answer(
         "NOT_FOUND", Ran.NOT_RUN, False, 3, "Create the organisation first or correct its name."
     ),
+    ErrorKind.UNAUTHENTICATED: Answer(
+        "UNAUTHENTICATED", Ran.NOT_RUN, False, 3, "Use a key that the organisation holds now."
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(
+        "INVALID_ARGUMENT", Ran.NOT_RUN, False, 2, "Send a smaller body."
+    ),
+    ErrorKind.UNKNOWN_JOB: Answer("NOT_FOUND", Ran.NOT_RUN, False, 3, "Check the job's id."),
     ErrorKind.NOT_FOUND: Answer("NOT_FOUND", Ran.NOT_RUN, False, 3, "Check the name or id."),
     ErrorKind.DEADLINE_PASSED: Answer(
         "DEADLINE_EXCEEDED", Ran.NOT_RUN, False, 4, "Send again with a later deadline."
--- a/libs/telemetry/src/hornbeamfold/telemetry/__init__.py
+++ b/libs/telemetry/src/hornbeamfold/telemetry/__init__.py
@@ -10,6 +10,7 @@
     metrics_text,
     setup_metrics,
 )
+from hornbeamfold.telemetry.threads import logged
 
 __all__ = [
     "Record",
@@ -20,6 +21,7 @@
     "histogram",
     "install_invariant_reporter",
     "log_decision",
+    "logged",
     "metrics_text",
     "setup_metrics",
 ]
--- a/libs/telemetry/src/hornbeamfold/telemetry/logs.py
+++ b/libs/telemetry/src/hornbeamfold/telemetry/logs.py
@@ -1,16 +1,17 @@
-"""JSON log lines on stderr, one object a line."""
+"""JSON log lines, one object a line."""
 
 import logging
 import sys
 from collections.abc import Mapping
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 DECISIONS = "hornbeamfold.decision"
 
 
-def configure_logging(instance: str, level: str) -> None:
-    """Write all log records of this process to stderr as JSON lines.
+def configure_logging(instance: str, level: str, stream: TextIO | None = None) -> None:
+    """Write all log records of this process as JSON lines, to stderr unless a stream is given.
 
     Each line has `time` (UTC), `instance`, `level`, `logger`, `event` and the extra fields.
     """
@@ -20,7 +21,7 @@
         static_fields={"instance": instance},
         timestamp="time",
     )
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
