--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 VENV ?= .venv
 PY := $(VENV)/bin/python
-LIBS := $(wildcard libs/*)
+LIBS := $(wildcard libs/*) platform
 empty :=
 space := $(empty) $(empty)
 SRC := $(subst $(space),:,$(patsubst %,$(CURDIR)/%/src,$(LIBS)))
@@ -27,8 +27,8 @@
 test: setup  ## Run all tests.
 	$(PY) tools/run_tests.py $(LIBS)
 
-test-one: setup  ## Run the tests of one library: make test-one LIB=view
-	$(PY) tools/run_tests.py libs/$(LIB)
+test-one: setup  ## Run the tests of one library: make test-one LIB=libs/view
+	$(PY) tools/run_tests.py $(LIB)
 
 lint: setup  ## Check formatting and lint rules.
 	$(VENV)/bin/ruff format --check .
--- a/libs/batch/src/hornbeamfold/batch/workers.py
+++ b/libs/batch/src/hornbeamfold/batch/workers.py
@@ -35,7 +35,7 @@
     LOST = "lost"  # the worker is gone, or never had the run
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, order=True)
 class RunName:
     """One run of one task of a job."""
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -141,6 +141,14 @@
             },
         )
         eventlet.spawn_n(logged(self._journal.run))
+        try:
+            self._plan_while_active()
+        finally:
+            # A coordinator that cannot plan must not keep the others from coordinating.
+            if self._planning:
+                self.depose("planning ended")
+
+    def _plan_while_active(self) -> None:
         while self._active and self._planning:
             self._update_sessions()
             self._end_orphans()
