--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 VENV ?= .venv
 PY := $(VENV)/bin/python
-LIBS := $(wildcard libs/*) platform
+LIBS := $(wildcard libs/*) platform platform/emulator
 empty :=
 space := $(empty) $(empty)
 SRC := $(subst $(space),:,$(patsubst %,$(CURDIR)/%/src,$(LIBS)))
@@ -12,7 +12,7 @@
 SECONDS ?= 60
 LIB ?=
 
-.PHONY: help setup test test-one lint format types schema demo serve tool faults measure slopes soak
+.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults measure slopes soak
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
@@ -50,6 +50,9 @@
 demo: setup  ## Start stand-ins and 8 instances, serve the sample work, print what happened.
 	$(PY) -m hornbeamfold.bench.demo
 
+demo-platform: setup  ## Run 3 instances on an emulator of the users' platform and kill the coordinator.
+	$(PY) -m hornbeamfold.emulator.demo
+
 serve: setup  ## Keep a firm running for a tour with the tool: make serve [FIRM=highwater]
 	$(PY) -m hornbeamfold.bench.serve $(or $(FIRM),rampes)
 
