--- a/libs/coordinator/src/hornbeamfold/coordinator/book.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/book.py
@@ -12,7 +12,6 @@
     RunEnd,
     RunName,
     RunningTask,
-    Step,
     TaskPhase,
     TaskRef,
     Worker,
@@ -69,6 +68,10 @@
         """Return the runs on one worker."""
         return tuple(self._runs[name] for name in self._by_worker.get(worker_id, ()))
 
+    def runs_of(self, job_id: str) -> tuple[Run, ...]:
+        """Return the runs of one job."""
+        return tuple(run for name, run in self._runs.items() if name.job_id == job_id)
+
     def used_on(self, worker_id: str) -> Resources:
         """Return the room that runs take on one worker."""
         used = Resources()
@@ -76,11 +79,6 @@
             used = used + self._runs[name].reserved
         return used
 
-    def step_of(self, name: RunName) -> Step | None:
-        """Return the step of a run, if its job has not ended."""
-        tracked = self._jobs.get(name.job_id)
-        return tracked.job.steps[name.task.step] if tracked is not None else None
-
     def add(self, job: BatchJob, progress: JobProgress) -> None:
         """Track a job; runs that its progress records take room from now on."""
         if job.job_id in self._jobs or job.job_id in self._ended:
@@ -162,7 +160,7 @@
         run = self._runs.get(task.name)
         if run is None:
             return
-        moved = task.percent != run.percent or run.moved_ms == 0
+        moved = task.percent != run.percent
         self._runs[task.name] = replace(
             run,
             percent=task.percent,
@@ -203,6 +201,8 @@
             return ()
         if not tracked.finish(name, end, checkpoint or run.checkpoint):
             return ()
+        if end is RunEnd.DONE and not run.checkpoint:
+            tracked.add_finished(name.task, self._clock() - run.begun_ms)
         if end is RunEnd.FAILED:
             tracked.add_avoided(name.task, run.worker_id)
         self._changed.add(name.job_id)
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -5,7 +5,7 @@
 
 import eventlet
 from eventlet.event import Event
-from eventlet.greenpool import GreenPool
+from eventlet.semaphore import Semaphore
 
 from hornbeamfold.batch import (
     Accepted,
@@ -30,8 +30,10 @@
 _starts = counter("hornbeamfold_start_orders", "Start orders by outcome.")
 _start_ms = histogram("hornbeamfold_start_order", "ms", "Time until a start order is answered.")
 
-# A renewal waits so long at the worker for an end; the worker's bound for it.
+# A renewal waits so long at the worker for an end: the worker's bound for it, and less while runs
+# are there whose progress has to be watched.
 RENEW_WAIT_MS = 2_000
+WATCH_WAIT_MS = 800
 RETRY_MS = 250
 # Without an answer to a renewal for so long the worker gets no new tasks.
 REACHABLE_MS = 3_500
@@ -60,6 +62,7 @@
     on_gone: Callable[["Session", str], None]  # all runs there are certainly over
     on_fenced: Callable[[str], None]
     is_listed: Callable[[RunName], bool]  # whether the run still takes room in the book
+    may_start: Callable[[Run, Worker], bool]  # whether a start is still right when it is sent
     after_store: Callable[[Callable[[], None]], None]
 
 
@@ -90,8 +93,9 @@
         self._foreign = 0
         self._closed = False
         self._registered = True
-        self._orders = GreenPool(PARALLEL_ORDERS)
+        self._orders = Semaphore(PARALLEL_ORDERS)
         self._lost = False
+        self._watched = False
 
     @property
     def worker(self) -> Worker:
@@ -154,7 +158,9 @@
             sent_ms = self._clock()
             # The first renewal must not wait: nothing may start before the worker's runs are known.
             first = self._reported_ms is None
-            wait_ms = 0 if first or self._lost else RENEW_WAIT_MS
+            wait_ms = WATCH_WAIT_MS if self._watched else RENEW_WAIT_MS
+            if first or self._lost:
+                wait_ms = 0
             renewal = LeaseRenewal(
                 self._token, self._acknowledged, wait_ms, self._lease_end(sent_ms)
             )
@@ -220,6 +226,7 @@
         first = self._clock_at_ms is None
         self._clock_ms = report.clock_ms
         self._clock_at_ms = now
+        self._watched = bool(report.running)
         self._reported_ms = None if first else now
         self._hooks.on_report(self, report, sent_ms)
         if first:
@@ -250,7 +257,16 @@
 
     def start(self, run: Run, payload: str) -> None:
         """Send a start order in a thread of its own."""
-        self._orders.spawn_n(logged(self._start), run, payload)
+        self._spawn(lambda: self._start(run, payload))
+
+    def _spawn(self, order: Callable[[], None]) -> None:
+        """Send an order in a thread of its own, a few at a time; never blocks the caller."""
+
+        def limited() -> None:
+            with self._orders:
+                order()
+
+        eventlet.spawn_n(logged(limited))
 
     def _start(self, run: Run, payload: str) -> None:
         knowledge = self._hooks.knowledge_ms()
@@ -259,7 +275,11 @@
         until = None if knowledge is None else knowledge + validity - VALIDITY_MARGIN_MS
         clock = self._worker_clock(now)
         if until is None or until <= now or clock is None or not self._hooks.is_active():
-            self._not_started(run, Refusal.TOO_LATE)
+            self._hooks.on_not_started(run, Refusal.TOO_LATE)
+            return
+        # The run was planned before it was recorded and waited for its turn here.
+        if not self._hooks.may_start(run, self._worker):
+            self._hooks.on_not_started(run, Refusal.TOO_LATE)
             return
         order = StartOrder(run.name, payload, self._token, clock + (until - now), run.checkpoint)
         outcome = self._port.start(self._worker, order)
@@ -286,17 +306,14 @@
             case Refused(Refusal.FENCED):
                 self._hooks.on_fenced(f"worker {run.worker_id}")
             case Refused(reason, _):
-                self._not_started(run, reason)
+                self._hooks.on_not_started(run, reason)
             case NoAnswer():
                 # The order may still be on its way. A stop of the same run keeps it from starting.
                 self._stop(run, "start order unanswered")
 
-    def _not_started(self, run: Run, reason: Refusal) -> None:
-        self._hooks.on_not_started(run, reason)
-
     def stop(self, run: Run) -> None:
         """Send a stop order in a thread of its own, until it is answered."""
-        self._orders.spawn_n(logged(self._stop), run, run.stop_reason)
+        self._spawn(lambda: self._stop(run, run.stop_reason))
 
     def _stop(self, run: Run, reason: str) -> None:
         tries = 0
@@ -328,7 +345,7 @@
 
     def stop_unknown(self, name: RunName) -> None:
         """Stop a run that the worker lists and the book does not know."""
-        self._orders.spawn_n(logged(self._stop_once), name)
+        self._spawn(lambda: self._stop_once(name))
 
     def _stop_once(self, name: RunName) -> None:
         outcome = self._port.stop(self._worker, StopOrder(name, self._token))
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -24,6 +24,7 @@
 from hornbeamfold.coordinator.book import Book, Run
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.journal import Journal
+from hornbeamfold.coordinator.pace import late_runs
 from hornbeamfold.coordinator.session import CLOCK_RATE, Session, SessionHooks
 from hornbeamfold.coordinator.survey import occupants, ready_steps, rooms
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
@@ -39,8 +40,6 @@
 MAX_PASS_GAP_MS = 200
 # An earlier coordinator renewed leases for so long after the last record that it wrote.
 EARLIER_RENEWALS_MS = 3_500
-# A run whose progress stands still for so long is started elsewhere: two reports without change.
-STALLED_MS = 5_000
 
 
 @dataclass(frozen=True)
@@ -93,6 +92,7 @@
             on_gone=self._on_gone,
             on_fenced=self.depose,
             is_listed=lambda name: name in self._book.runs,
+            may_start=self._may_start,
             after_store=self._journal.after_store,
         )
 
@@ -240,19 +240,16 @@
                     session.stop(run)
                 continue
             self._end(run.name, RunEnd.LOST)
-        self._stop_stalled(worker.worker_id)
+        self._move_late_runs(worker.worker_id)
         self._notify()
 
-    def _stop_stalled(self, worker_id: str) -> None:
-        now = self._parts.clock()
-        for run in self._book.runs_on(worker_id):
-            step = self._book.step_of(run.name)
-            if step is None or step.long_running or run.stop_reason or run.settled_ms is None:
-                continue
-            if now - run.moved_ms > STALLED_MS and run.percent < 100:
-                self._health.set_aside(worker_id, "stalled")
-                self._book.jobs[run.name.job_id].add_avoided(run.name.task, worker_id)
-                self._stop_all((run.name,), "stalled")
+    def _move_late_runs(self, worker_id: str) -> None:
+        """Stop runs that would end sooner elsewhere; they are placed again once they have ended."""
+        runs = self._book.runs_on(worker_id)
+        for late in late_runs(self._book, runs, self._parts.clock()):
+            self._health.set_aside(worker_id, late.reason)
+            self._book.jobs[late.name.job_id].add_avoided(late.name.task, worker_id)
+            self._stop_all((late.name,), late.reason)
 
     def _on_ended(self, session: Session, ended: tuple[EndedTask, ...]) -> None:
         worker_id = session.worker.worker_id
@@ -362,6 +359,15 @@
             runs.extend(self._book.begin(job_id, [each.task], [workers[each.worker_id]]))
         return runs
 
+    def _may_start(self, run: Run, worker: Worker) -> bool:
+        """Tell whether a recorded run may still start, by what is known now."""
+        current = self._book.runs.get(run.name)
+        if current is None or current.stop_reason or run.name.job_id not in self._book.jobs:
+            return False
+        if worker.draining or worker.worker_id not in self._parts.registry():
+            return False
+        return worker.availability_zone not in self._parts.operator().zones_out
+
     def _send(self, runs: Sequence[Run]) -> None:
         """Send the start orders of runs that are now in the store."""
         if not self._active:
@@ -372,7 +378,7 @@
             current = self._book.runs.get(run.name)
             if current is None:
                 continue
-            if tracked is None or session is None or current.stop_reason:
+            if tracked is None or session is None:
                 self._end(run.name, RunEnd.LOST)
                 continue
             session.start(current, tracked.job.payload)
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -28,6 +28,7 @@
         self._waiting: dict[tuple[int, int], set[int]] = {}
         self._ready_ms: dict[tuple[int, int], int] = {}
         self._avoid: dict[tuple[int, int], dict[str, None]] = {}
+        self._finished_ms: dict[tuple[int, int], list[int]] = {}
         self._chain_ms = longest_chain_ms(job)
         self._tasks_left = 0
         for occurrence in range(job.occurrences):
@@ -104,10 +105,13 @@
         """Do not start tasks of this step on a worker again, if others can be had."""
         self._avoid.setdefault((ref.occurrence, ref.step), {})[worker_id] = None
 
-    def first_start_missing(self) -> bool:
-        """Tell whether some task of the first step of the first occurrence has never run."""
-        count = self._job.steps[0].count
-        return any(self.task(TaskRef(0, 0, index)).run == 0 for index in range(count))
+    def add_finished(self, ref: TaskRef, took_ms: int) -> None:
+        """Note how long a task of this step took from its order to its end."""
+        self._finished_ms.setdefault((ref.occurrence, ref.step), []).append(took_ms)
+
+    def finished_ms(self, occurrence: int, step: int) -> tuple[int, ...]:
+        """Return how long the step's tasks that are done took."""
+        return tuple(self._finished_ms.get((occurrence, step), ()))
 
     def begin(self, ref: TaskRef, run: int, worker_id: str, born_ms: int) -> TaskProgress:
         """Note that a run begins; return the task's progress."""
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -113,6 +113,7 @@
         on_gone=lambda session, reason: calls.note("gone", reason),
         on_fenced=lambda reason: (calls.note("fenced", reason), calls.end())[0],
         is_listed=lambda name: True,
+        may_start=lambda run, worker: not calls.named("drains"),
         after_store=lambda callback: callback(),
     )
 
--- /dev/null
+++ b/libs/coordinator/tests/test_pace.py
@@ -0,0 +1,56 @@
+"""Tests of finding runs that stand still or are slow."""
+
+import unittest
+
+from coordinator_cases import ManualClock, book_with, job, worker
+
+from hornbeamfold.batch import Resources, RunningTask, Step, TaskRef
+from hornbeamfold.coordinator.pace import STALLED_MS, late_runs
+
+REFS = [TaskRef(0, 0, index) for index in range(3)]
+
+
+class LateRunsTest(unittest.TestCase):
+    def found(
+        self, *reports: tuple[int, float], step: Step | None = None, other: float | None = None
+    ) -> list[str]:
+        """Return why a run counts as late after reports of progress at these times.
+
+        `other` is the progress of two tasks on other workers at the time of the last report.
+        """
+        clock = ManualClock(0)
+        book = book_with(clock, job("a", step or Step(3, Resources(1), 2_500)))
+        run, *siblings = book.begin("a", REFS, [worker(), worker("w2"), worker("w3")])
+        book.settle(run.name)
+        for at_ms, percent in reports:
+            clock.move(at_ms - clock())
+            book.note_running(RunningTask(run.name, "", percent))
+        for sibling in siblings if other is not None else ():
+            book.note_running(RunningTask(sibling.name, "", other))
+        return [each.reason for each in late_runs(book, book.runs_on("w1"), clock())]
+
+    def test_runs(self) -> None:
+        checkpointing = Step(3, Resources(1), 2_500, checkpointing=True)
+        lasting = Step(3, Resources(1), 2_500, long_running=True)
+        gang = Step(3, Resources(1), 2_500, gang=True)
+        near = Step(3, Resources(1), 2_500, preferred_rack="r1")
+        cases = [
+            ("as its siblings", [(800, 32.0)], None, 40.0, []),
+            ("still", [(800, 30.0), (800 + STALLED_MS + 1, 30.0)], None, 90.0, ["stalled"]),
+            ("never began", [(800, 0.0), (STALLED_MS + 1, 0.0)], None, None, ["stalled"]),
+            ("six times slower", [(1_600, 10.0)], None, 64.0, ["slow"]),
+            ("a low estimate says nothing", [(1_600, 10.0)], None, None, []),
+            ("slow, but nearly done", [(2_300, 90.0)], None, 99.0, []),
+            ("slow with a checkpoint", [(8_000, 20.0)], checkpointing, 80.0, ["slow"]),
+            ("a gang has one pace", [(1_600, 10.0)], gang, 64.0, []),
+            ("away from its data", [(1_600, 10.0)], near, 64.0, []),
+            ("too little to tell", [(1_600, 3.0)], None, 64.0, []),
+            ("lasting work", [(800, 30.0), (9_000, 30.0)], lasting, 64.0, []),
+        ]
+        for name, reports, step, other, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(self.found(*reports, step=step, other=other), expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -153,6 +153,15 @@
         self.start(lambda order: self.fail("sent"), reports=0)
         self.assertEqual(self.calls.named("not started"), [Refusal.TOO_LATE])
 
+    def test_an_order_that_waited_is_checked_again(self) -> None:
+        """Guards against starts on a worker that began to drain after the run was planned.
+
+        Found in the standard days: hww-prairie trouble-1, DRAIN (1 of 3 plays).
+        """
+        self.calls.note("drains", "w1")
+        self.start(lambda order: self.fail("sent"))
+        self.assertEqual(self.calls.named("not started"), [Refusal.TOO_LATE])
+
     def test_an_unanswered_order_is_stopped_before_it_counts_as_settled(self) -> None:
         self.start(lambda order: NoAnswer("timeout"))
         self.assertEqual(len(self.stops), 1)
