Give calls up as soon as the store is known to be away

Change: nothing is sent while the last read failed (503, true), and an unknown outcome ends after 1.5 s or when reads fail too (504). A stalled gang sets no worker aside.

--- a/libs/coordinator/src/hornbeamfold/coordinator/book.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/book.py
@@ -72,6 +72,11 @@
         """Return the runs of one job."""
         return tuple(run for name, run in self._runs.items() if name.job_id == job_id)
 
+    def in_gang(self, name: RunName) -> bool:
+        """Tell whether a run is a member of a gang."""
+        tracked = self._jobs.get(name.job_id)
+        return tracked is not None and tracked.job.steps[name.task.step].gang
+
     def used_on(self, worker_id: str) -> Resources:
         """Return the room that runs take on one worker."""
         used = Resources()
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -247,7 +247,9 @@
         """Stop runs that would end sooner elsewhere; they are placed again once they have ended."""
         runs = self._book.runs_on(worker_id)
         for late in late_runs(self._book, runs, self._parts.clock()):
-            self._health.set_aside(worker_id, late.reason)
+            # Any member may be what holds a gang up, so that says nothing about this worker.
+            if not self._book.in_gang(late.name):
+                self._health.set_aside(worker_id, late.reason)
             self._book.jobs[late.name.job_id].add_avoided(late.name.task, worker_id)
             self._stop_all((late.name,), late.reason)
 
--- a/libs/gateway/src/hornbeamfold/gateway/jobs.py
+++ b/libs/gateway/src/hornbeamfold/gateway/jobs.py
@@ -26,6 +26,8 @@
 RETRY_MS = 100
 # While the store refuses, a call is refused after this time: the caller can go elsewhere.
 REFUSED_TRIES_MS = 350
+# An append whose outcome stays unknown for so long ends the call; the caller can ask elsewhere.
+UNKNOWN_TRIES_MS = 1_500
 # Time that is kept for the way of the answer.
 ANSWER_MARGIN_MS = 150
 
@@ -105,6 +107,8 @@
 
     def _try_to_store(self, record: KeyedRecord, deadline_ms: int) -> Refused | None:
         """Append until stored, or until it is certain that it never will be, or time is over."""
+        if self._follower.failing:
+            return Refused(ErrorKind.LOG_UNAVAILABLE, "the store does not answer")
         began = self._clock()
         unknown = ""
         while True:
@@ -123,6 +127,8 @@
                     return None
                 case StoreUnknown(reason):
                     unknown = reason
+                    if self._follower.failing or self._clock() - began > UNKNOWN_TRIES_MS:
+                        return Refused(ErrorKind.OUTCOME_UNKNOWN, reason)
                 case NotStored(reason):
                     if not unknown and self._clock() - began > REFUSED_TRIES_MS:
                         return Refused(ErrorKind.LOG_UNAVAILABLE, reason)
--- a/libs/gateway/tests/test_jobs.py
+++ b/libs/gateway/tests/test_jobs.py
@@ -74,6 +74,18 @@
                 assert isinstance(answer, Refused)
                 self.assertEqual(answer.kind, ErrorKind.OUTCOME_UNKNOWN)
 
+    def test_a_call_is_given_up_long_before_its_deadline(self) -> None:
+        """Guards against calls that are held to their end while another instance could serve."""
+        self.submit(UNKNOWN)
+        self.assertLess(self.now, 2_000)
+
+    def test_nothing_is_sent_to_a_store_that_does_not_answer(self) -> None:
+        calls = self.calls([Stored(0)], readable=False)
+        calls.state("a")
+        answer = calls.submit(JOB, 3_000)
+        assert isinstance(answer, Refused)
+        self.assertEqual((answer.kind, self.appends), (ErrorKind.LOG_UNAVAILABLE, 0))
+
     def test_a_lost_answer_is_followed_by_another_try(self) -> None:
         self.assertEqual(self.submit(UNKNOWN, Stored(0)), JobState.PENDING)
 
