--- a/libs/coordinator/src/hornbeamfold/coordinator/election.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/election.py
@@ -14,8 +14,9 @@
 logger = get_logger("hornbeamfold.coordinator.election")
 _claims = counter("hornbeamfold_claims", "Claims to be the coordinator by outcome.")
 
-# Three missed beats. Fewer would depose a coordinator whose append is slow once.
-SILENCE_MS = 3 * BEAT_MS + 100
+# Three missed beats, so that a coordinator whose append is slow once is left alone. In a store that
+# is 60 times slower than usual its records are about 800 ms apart.
+SILENCE_MS = 3 * BEAT_MS + 200
 # Spreads the claims of several instances.
 JITTER_MS = 250
 # A round trip longer than this crosses regions. A coordinator there spends it on every append.
@@ -39,6 +40,7 @@
         clock: Clock,
         may_claim: Callable[[], bool],
         round_trip_ms: Callable[[], float],
+        read_soon: Callable[[], None] = lambda: None,
     ) -> None:
         self._incarnation = incarnation
         self._topic = topic
@@ -46,6 +48,7 @@
         self._clock = clock
         self._may_claim = may_claim
         self._round_trip_ms = round_trip_ms
+        self._read_soon = read_soon
         self._random = Random(incarnation)
         self._last_read_ms: int | None = None
         self._silence_ms = 0
@@ -108,6 +111,7 @@
         self._claimed_ms = self._clock()
         self._jitter_ms = self._random.randrange(JITTER_MS)
         taken = isinstance(outcome, Stored)
+        self._read_soon()
         if isinstance(outcome, Fenced):
             self._silence_ms = 0
         _claims(1, taken=taken)
