--- a/libs/ledger/src/hornbeamfold/ledger/follower.py
+++ b/libs/ledger/src/hornbeamfold/ledger/follower.py
@@ -90,7 +90,9 @@
     def follow(self, wanted: Callable[[], bool]) -> None:
         """Follow the topic while wanted and not stopped; what was missed since is read first."""
         while not self._stopped and wanted():
-            if not (self.loaded or self.load()) or not self.read(self._wait_ms):
+            # A read that does not wait tells sooner that the store is back.
+            wait_ms = 0 if self.failing else self._wait_ms
+            if not (self.loaded or self.load()) or not self.read(wait_ms):
                 eventlet.sleep(RETRY_MS / 1_000)
                 continue
             pace_ms = self._pace_ms()
