Bound the log of an instance and never block on it; invariants in the book; remove what is unused

Cause: the users ask for logs whose volume is bounded under load and that never block; a stream handler blocks when its reader stops. A second run of a task and room that is exceeded are invariants now.

--- a/libs/batch/src/hornbeamfold/batch/__init__.py
+++ b/libs/batch/src/hornbeamfold/batch/__init__.py
@@ -40,7 +40,6 @@
     StoreUnknown,
     TopicPort,
     Trimmed,
-    WorkerList,
     WorkerPort,
 )
 from hornbeamfold.batch.progress import (
@@ -112,7 +111,6 @@
     "TopicPort",
     "Trimmed",
     "Worker",
-    "WorkerList",
     "WorkerPort",
     "elapsed_ms",
     "unix_ms",
--- a/libs/batch/src/hornbeamfold/batch/ports.py
+++ b/libs/batch/src/hornbeamfold/batch/ports.py
@@ -199,11 +199,3 @@
     renew: Callable[[Worker, LeaseRenewal], LeaseReport | Refused | NoAnswer]
     start: Callable[[Worker, StartOrder], OrderOutcome]
     stop: Callable[[Worker, StopOrder], OrderOutcome]
-
-
-@dataclass(frozen=True)
-class WorkerList:
-    """The workers that are registered, and where to read on."""
-
-    workers: tuple[Worker, ...]
-    confirmed_ms: int
--- a/libs/coordinator/src/hornbeamfold/coordinator/book.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/book.py
@@ -17,6 +17,7 @@
     Worker,
 )
 from hornbeamfold.coordinator.tracked import TrackedJob
+from hornbeamfold.model import check
 from hornbeamfold.telemetry import counter, get_logger
 
 logger = get_logger("hornbeamfold.coordinator.book")
@@ -139,6 +140,12 @@
         now = self._clock()
         begun: list[Run] = []
         for ref, worker in zip(refs, workers, strict=True):
+            before = tracked.task(ref)
+            check(
+                "one_run_of_a_task",
+                before.phase is TaskPhase.WAITING and number > before.run,
+                f"{job_id} {ref}: run {number} after {before}",
+            )
             task = tracked.begin(ref, number, worker.worker_id, worker.born_ms)
             run = Run(
                 RunName(job_id, ref, number),
@@ -151,6 +158,11 @@
             )
             self._add_run(run)
             begun.append(run)
+            check(
+                "room_not_exceeded",
+                self.used_on(worker.worker_id).fits(worker.capacity),
+                f"{worker.worker_id} has {self.used_on(worker.worker_id)} of {worker.capacity}",
+            )
         self._changed.add(job_id)
         return begun
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -223,15 +223,11 @@
             logger.info("worker_regained", extra={"worker": self._worker.worker_id})
         if report.born_ms and report.born_ms != self._worker.born_ms:
             self._reborn(replace(self._worker, born_ms=report.born_ms))
-        first = self._clock_at_ms is None
         self._clock_ms = report.clock_ms
         self._clock_at_ms = now
         self._watched = bool(report.running)
-        self._reported_ms = None if first else now
+        self._reported_ms = now
         self._hooks.on_report(self, report, sent_ms)
-        if first:
-            # The next renewal carries the lease; until then the worker gets nothing.
-            self._reported_ms = now
         if report.ended:
             self._record_ends(report.ended)
 
--- a/libs/coordinator/tests/test_book.py
+++ b/libs/coordinator/tests/test_book.py
@@ -15,6 +15,7 @@
     TaskRef,
 )
 from hornbeamfold.coordinator.book import Book
+from hornbeamfold.model import violations
 
 SMALL = Resources(1_000, 1_000, 1)
 FIRST, SECOND = TaskRef(0, 0, 0), TaskRef(0, 0, 1)
@@ -34,6 +35,19 @@
         book.end(run.name, RunEnd.DONE)
         self.assertEqual(book.used_on("w1"), Resources())
 
+    def test_a_second_run_of_a_task_violates_an_invariant(self) -> None:
+        book = book_with(self.clock, job("a"))
+        self.begin(book, FIRST)
+        before = violations().get("one_run_of_a_task", 0)
+        self.begin(book, FIRST)
+        self.assertEqual(violations()["one_run_of_a_task"], before + 1)
+
+    def test_more_than_a_worker_has_violates_an_invariant(self) -> None:
+        book = book_with(self.clock, job("a", Step(2, Resources(1, 1, 5))))
+        before = violations().get("room_not_exceeded", 0)
+        self.begin(book, FIRST, SECOND)
+        self.assertEqual(violations()["room_not_exceeded"], before + 1)
+
     def test_a_job_is_completed_when_every_task_is_done(self) -> None:
         book = book_with(self.clock, job("a"))
         for run in self.begin(book, FIRST, SECOND):
--- a/libs/scheduling/src/hornbeamfold/scheduling/draft.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/draft.py
@@ -75,10 +75,6 @@
                 room = room - hold.amount
         return room
 
-    def copy_free(self) -> dict[str, Resources]:
-        """Return the free room of all workers, for a trial."""
-        return dict(self._free)
-
 
 def is_eligible(step: ReadyStep, room: Room) -> bool:
     """Tell whether a worker of this kind may run the step at all."""
--- a/libs/telemetry/src/hornbeamfold/telemetry/logs.py
+++ b/libs/telemetry/src/hornbeamfold/telemetry/logs.py
@@ -3,15 +3,18 @@
 import logging
 import sys
 from collections.abc import Mapping
-from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
+from hornbeamfold.telemetry.bounded import BoundedHandler
+
 DECISIONS = "hornbeamfold.decision"
 
 
-def configure_logging(instance: str, level: str, stream: TextIO | None = None) -> None:
-    """Write all log records of this process as JSON lines, to stderr unless a stream is given.
+def configure_logging(instance: str, level: str, descriptor: int | None = None) -> None:
+    """Write all log records of this process as JSON lines, to stderr unless a descriptor is given.
+
+    Writing to a descriptor is bounded and never blocks.
 
     Each line has `time` (UTC), `instance`, `level`, `logger`, `event` and the extra fields.
     """
@@ -21,7 +24,9 @@
         static_fields={"instance": instance},
         timestamp="time",
     )
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler: logging.Handler = logging.StreamHandler(sys.stderr)
+    if descriptor is not None:
+        handler = BoundedHandler(descriptor)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers = [handler]
--- /dev/null
+++ b/libs/telemetry/tests/test_bounded.py
@@ -0,0 +1,60 @@
+"""Tests of the log handler that never blocks."""
+
+import logging
+import os
+import time
+import unittest
+
+from hornbeamfold.telemetry.bounded import (
+    MAX_BUFFERED_BYTES,
+    MAX_LINES_PER_SECOND,
+    BoundedHandler,
+)
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.handler = BoundedHandler(writer)
+        self.handler.setFormatter(logging.Formatter("%(message)s"))
+
+    def emit(self, message: str, second: int) -> None:
+        record = logging.makeLogRecord({"msg": message, "created": float(second)})
+        self.handler.emit(record)
+
+    def read(self) -> list[str]:
+        os.set_blocking(self.reader, False)
+        return os.read(self.reader, 1 << 20).decode().splitlines()
+
+    def test_a_flood_of_one_event_is_counted_and_does_not_hide_others(self) -> None:
+        for _ in range(MAX_LINES_PER_SECOND + 50):
+            self.emit("flood", 1)
+        self.emit("other", 1)
+        self.emit("later", 2)
+        lines = self.read()
+        self.assertEqual(lines.count("flood"), MAX_LINES_PER_SECOND)
+        self.assertEqual(lines[-3:], ["other", "log_lines_omitted", "later"])
+
+    def test_a_reader_that_has_stopped_blocks_nobody(self) -> None:
+        began = time.monotonic()
+        for second in range(100):
+            self.emit("x" * 5_000, second)
+        self.assertLess(time.monotonic() - began, 5.0)
+        self.assertLessEqual(len(self.handler._buffer), MAX_BUFFERED_BYTES)
+
+    def test_lines_stay_whole_after_a_pause_of_the_reader(self) -> None:
+        sent = [f"{second:05d}" * 1_000 for second in range(20)]
+        data = b""
+        for second, line in enumerate(sent):
+            self.emit(line, second)
+        os.set_blocking(self.reader, False)
+        data += os.read(self.reader, 1 << 20)
+        self.emit("end", 40)
+        data += os.read(self.reader, 1 << 20)
+        self.assertEqual(data.decode().splitlines(), [*sent, "end"])
+
+
+if __name__ == "__main__":
+    unittest.main()
