--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -306,6 +306,15 @@
             case NoAnswer():
                 # The order may still be on its way. A stop of the same run keeps it from starting.
                 self._stop(run, "start order unanswered")
+                self._report_now()
+
+    def _report_now(self) -> None:
+        """Ask for a report beside the renewal that waits, and leave the lease as it is."""
+        sent_ms = self._clock()
+        renewal = LeaseRenewal(self._token, self._acknowledged, 0)
+        report = self._port.renew(self._worker, renewal)
+        if isinstance(report, LeaseReport) and report.born_ms == self._worker.born_ms:
+            self._hooks.on_report(self, report, sent_ms)
 
     def stop(self, run: Run) -> None:
         """Send a stop order in a thread of its own, until it is answered."""
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -166,6 +166,8 @@
         self.start(lambda order: NoAnswer("timeout"))
         self.assertEqual(len(self.stops), 1)
         self.assertEqual(self.calls.named("settled"), [self.run_.name])
+        # A report that is asked for at once says whether the worker has the run.
+        self.assertEqual(self.calls.events[-1][0], "report")
 
     def test_refusals_are_reported(self) -> None:
         for reason in (Refusal.NO_ROOM, Refusal.OLD_RUN, Refusal.UNHEALTHY, Refusal.TOO_LATE):
