--- a/libs/coordinator/src/hornbeamfold/coordinator/survey.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/survey.py
@@ -151,7 +151,8 @@
         run.worker_id,
         run.reserved,
         tracked.job.priority,
-        False,
+        # Its callers allow only so many of these tasks to be away, for whatever reason.
+        step.long_running and step.max_unavailable > 0,
         max(MIN_REMAINING_MS, remaining),
         cores * (1_000 + lost_ms) / 1_000,
         gang,
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -52,7 +52,7 @@
 class Occupant:
     """A run that takes room on a worker; `remaining_ms` is an estimate.
 
-    `lost_work` is what a stop would throw away, in core-seconds with an accelerator as 8 cores.
+    A `protected` run is never stopped for other work. `lost_work` is what a stop would throw away, in core-seconds with an accelerator as 8 cores.
     `gang` names the step and occurrence if its members only run together.
     """
 
@@ -60,7 +60,7 @@
     worker_id: str
     reserved: Resources
     priority: int
-    entitled: bool
+    protected: bool
     remaining_ms: int
     lost_work: float
     gang: tuple[str, int, int] | None = None
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -53,7 +53,7 @@
             continue
         if occupant.stopping:
             free[occupant.worker_id] = free[occupant.worker_id] + occupant.reserved
-        elif not occupant.entitled and occupant.priority > step.job.priority:
+        elif not occupant.protected and occupant.priority > step.job.priority:
             by_worker[occupant.worker_id].append(occupant)
     chosen = pack(draft, step, len(step.waiting), group, free.__getitem__)
     victims: dict[Occupant, None] = {}
--- a/libs/scheduling/tests/scheduling_cases.py
+++ b/libs/scheduling/tests/scheduling_cases.py
@@ -60,7 +60,7 @@
         "worker_id": worker,
         "reserved": reserved,
         "priority": 1,
-        "entitled": False,
+        "protected": False,
         "remaining_ms": remaining_ms,
         "lost_work": 10.0,
     }
--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -135,6 +135,11 @@
         made = plan(steps, rooms, taken, NOW)
         self.assertEqual(sorted(each.name.job_id for each in made.preemptions), ["x", "y"])
 
+    def test_protected_runs_are_never_stopped(self) -> None:
+        taken = [occupant("old", 0, "w1", resources(8), protected=True)]
+        step = ready("a", Step(1, resources(8)), 0, entitled=True)
+        self.assertEqual(plan([step], [room("w1", free=NOTHING)], taken, NOW).preemptions, ())
+
     def test_other_work_stays_without_a_guarantee(self) -> None:
         taken = [occupant("old", 0, "w1", resources(8))]
         made = plan([ready("a", Step(1, resources(8)), 0)], [room("w1", free=NOTHING)], taken, NOW)
