--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -52,7 +52,8 @@
 class Occupant:
     """A run that takes room on a worker; `remaining_ms` is an estimate.
 
-    A `protected` run is never stopped for other work. `lost_work` is what a stop would throw away, in core-seconds with an accelerator as 8 cores.
+    A `protected` run is never stopped for other work. `lost_work` is what a stop would throw away,
+    in core-seconds with an accelerator as 8 cores.
     `gang` names the step and occurrence if its members only run together.
     """
 
