Extend no lease on knowledge that is older than 6 s

Change: no lease is extended on knowledge older than 6 s, and the successor counts from 7 s. Test: test_a_coordinator_that_may_be_replaced_extends_no_lease, which fails on the code before.

--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -39,6 +39,9 @@
 REACHABLE_MS = 3_500
 # A recorded end is acknowledged at once; an unrecorded one delays the next renewal at most so long.
 RECORD_WAIT_MS = 1_000
+# A coordinator that has not confirmed its knowledge for so long extends no lease: another one may
+# have taken over, which counts on that. Outages of the store that are shorter cost no work.
+RENEWAL_KNOWLEDGE_MS = 6_000
 # Orders that one worker gets at the same time, each on a connection of its own.
 PARALLEL_ORDERS = 6
 # A worker's clock may be 2% slow; with a margin for the way of the order.
@@ -204,10 +207,16 @@
         """Return until when the worker may go on, on its clock; None to leave that as it is.
 
         After an unanswered renewal the lease is left alone until one is answered. Otherwise a
-        worker that is cut off one way would keep its runs for ever.
+        worker that is cut off one way would keep its runs for ever. It is left alone as well while
+        this coordinator may have been replaced.
         """
         clock = self._worker_clock(now_ms)
-        return None if clock is None or self._lost else clock + self._bounds.lease_max_ms
+        knowledge = self._hooks.knowledge_ms()
+        if clock is None or self._lost or knowledge is None:
+            return None
+        if now_ms - knowledge > RENEWAL_KNOWLEDGE_MS:
+            return None
+        return clock + self._bounds.lease_max_ms
 
     def _note_lease(self, renewal: LeaseRenewal, sent_ms: int) -> None:
         """Note until when the worker may go on if it gets this renewal, answered or not."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -25,7 +25,12 @@
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.pace import late_runs
-from hornbeamfold.coordinator.session import CLOCK_RATE, Session, SessionHooks
+from hornbeamfold.coordinator.session import (
+    CLOCK_RATE,
+    RENEWAL_KNOWLEDGE_MS,
+    Session,
+    SessionHooks,
+)
 from hornbeamfold.coordinator.survey import occupants, ready_steps, rooms
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
 from hornbeamfold.scheduling import Assignment, Plan, plan
@@ -38,8 +43,9 @@
 MIN_PASS_GAP_MS = 15
 # Without any event a pass looks for tasks whose time has come.
 MAX_PASS_GAP_MS = 200
-# An earlier coordinator renewed leases for so long after the last record that it wrote.
-EARLIER_RENEWALS_MS = 3_500
+# An earlier coordinator extends no lease this long after it was replaced. The margin is for the
+# time that a renewal takes.
+EARLIER_RENEWALS_MS = RENEWAL_KNOWLEDGE_MS + 1_000
 
 
 @dataclass(frozen=True)
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -73,6 +73,16 @@
     def __init__(self) -> None:
         self._events: list[tuple[str, object]] = []
         self._active = True
+        self._knowledge_age_ms = 0
+
+    @property
+    def knowledge_age_ms(self) -> int:
+        """How old the coordinator's knowledge is."""
+        return self._knowledge_age_ms
+
+    def age_knowledge(self, age_ms: int) -> None:
+        """Let the coordinator's last confirmed read be that old."""
+        self._knowledge_age_ms = age_ms
 
     @property
     def events(self) -> list[tuple[str, object]]:
@@ -105,7 +115,7 @@
     """Return hooks that note every call; what is stored is stored at once."""
     return SessionHooks(
         is_active=lambda: calls.active,
-        knowledge_ms=clock,
+        knowledge_ms=lambda: clock() - calls.knowledge_age_ms,
         on_report=lambda session, report, sent_ms: calls.note("report", report),
         on_ended=lambda session, ended: calls.note("ended", ended),
         on_settled=lambda name: calls.note("settled", name),
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -18,7 +18,7 @@
     StartOrder,
     TaskRef,
 )
-from hornbeamfold.coordinator.session import CLOCK_RATE
+from hornbeamfold.coordinator.session import CLOCK_RATE, RENEWAL_KNOWLEDGE_MS
 
 NAME = RunName("a", TaskRef(0, 0, 0), 1)
 
@@ -74,6 +74,26 @@
         self.assertIsNone(seen[0].expires_ms)
         self.assertEqual(seen[1].expires_ms, 500 + BOUNDS.lease_max_ms)
 
+    def test_a_coordinator_that_may_be_replaced_extends_no_lease(self) -> None:
+        """Guards against a worker that only the old coordinator reaches and keeps alive."""
+        bound = RENEWAL_KNOWLEDGE_MS
+        for age_ms, extends in ((bound, True), (bound + 1, False)):
+            with self.subTest(age_ms):
+                clock, calls = ManualClock(), Calls()
+                calls.age_knowledge(age_ms)
+                seen: list[LeaseRenewal] = []
+
+                def renew(
+                    renewal: LeaseRenewal, seen: list = seen, calls: Calls = calls
+                ) -> LeaseReport:
+                    seen.append(renewal)
+                    if len(seen) == 2:
+                        calls.end()
+                    return LeaseReport(500, 1, (), ())
+
+                session(calls, clock, renew).run()
+                self.assertEqual(seen[1].expires_ms is not None, extends)
+
     def test_ends_are_acknowledged_after_they_are_stored(self) -> None:
         clock, calls = ManualClock(), Calls()
         seen: list[LeaseRenewal] = []
