--- a/libs/ledger/src/hornbeamfold/ledger/follower.py
+++ b/libs/ledger/src/hornbeamfold/ledger/follower.py
@@ -44,7 +44,6 @@
         self._next_offset: int | None = None
         self._confirmed_ms: int | None = None
         self._failing_since: int | None = None
-        self._stopped = False
         self._wake: Event = Event()
         self._read_hooks: list[Callable[[bool], None]] = []
 
@@ -78,25 +77,20 @@
         if not self._wake.ready():
             self._wake.send(None)
 
-    def stop(self) -> None:
-        """End the loop after the present read."""
-        self._stopped = True
-        self.wake()
-
     def run(self) -> None:
-        """Follow the topic until stopped."""
+        """Follow the topic for ever."""
         self.follow(lambda: True)
 
     def follow(self, wanted: Callable[[], bool]) -> None:
-        """Follow the topic while wanted and not stopped; what was missed since is read first."""
-        while not self._stopped and wanted():
+        """Follow the topic while wanted; what was missed since the last time is read first."""
+        while wanted():
             # A read that does not wait tells sooner that the store is back.
             wait_ms = 0 if self.failing else self._wait_ms
             if not (self.loaded or self.load()) or not self.read(wait_ms):
                 eventlet.sleep(RETRY_MS / 1_000)
                 continue
             pace_ms = self._pace_ms()
-            if pace_ms > 0 and not self._stopped:
+            if pace_ms > 0:
                 self._wake = Event()
                 self._wake.wait(timeout=pace_ms / 1_000)
 
--- a/libs/ledger/src/hornbeamfold/ledger/replica.py
+++ b/libs/ledger/src/hornbeamfold/ledger/replica.py
@@ -70,10 +70,6 @@
             return JobState.CANCELLED
         return state
 
-    def recorded_state(self, job_id: str) -> JobState:
-        """Return the state that the coordinator recorded last."""
-        return self._states.get(job_id, JobState.PENDING)
-
     def progress(self, job_id: str) -> JobProgress:
         """Return the recorded progress of a job."""
         raw = self._progress.get(job_id)
