Keep the progress of tasks in a topic that only the coordinator reads

All 45 instances read every record of progress, which has all tasks of a job, over one link of 30 Mbit/s between regions.

Change: progress has a topic of its own, written under the coordinator's epoch and loaded at the start of a term after that epoch is set there. All instances follow the jobs, their cancellations and a short record of each state, told once the progress behind it is stored. Progress of ended jobs is removed.

--- a/libs/coordinator/src/hornbeamfold/coordinator/__init__.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/__init__.py
@@ -2,6 +2,6 @@
 
 from hornbeamfold.coordinator.coordination import Coordination
 from hornbeamfold.coordinator.election import Election
-from hornbeamfold.coordinator.term import TermParts
+from hornbeamfold.coordinator.term import Term, TermParts
 
-__all__ = ["Coordination", "Election", "TermParts"]
+__all__ = ["Coordination", "Election", "Term", "TermParts"]
--- a/libs/coordinator/src/hornbeamfold/coordinator/election.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/election.py
@@ -7,7 +7,8 @@
 from random import Random
 
 from hornbeamfold.batch import Clock, Fence, Fenced, Stored, TopicPort
-from hornbeamfold.coordinator.journal import BEAT_MS, PRODUCER
+from hornbeamfold.coordinator.announcer import BEAT_MS
+from hornbeamfold.coordinator.fenced_writer import PRODUCER
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
 from hornbeamfold.telemetry import counter, get_logger
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -7,12 +7,15 @@
 from eventlet.event import Event
 
 from hornbeamfold.batch import (
+    ENDED,
     Bounds,
     Clock,
     EndedTask,
     JobProgress,
+    JobState,
     LeaseReport,
     OperatorState,
+    ReadFailed,
     Refusal,
     RunEnd,
     RunName,
@@ -21,7 +24,9 @@
     Worker,
     WorkerPort,
 )
+from hornbeamfold.coordinator.announcer import Announcer
 from hornbeamfold.coordinator.book import Book, Run
+from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.pace import late_runs
@@ -32,7 +37,7 @@
     SessionHooks,
 )
 from hornbeamfold.coordinator.survey import occupants, ready_steps, rooms
-from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
+from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator, load_progress
 from hornbeamfold.scheduling import Assignment, Plan, plan
 from hornbeamfold.telemetry import get_logger, histogram, logged
 
@@ -43,6 +48,7 @@
 MIN_PASS_GAP_MS = 15
 # Without any event a pass looks for tasks whose time has come.
 MAX_PASS_GAP_MS = 200
+LOAD_RETRY_MS = 100
 # An earlier coordinator extends no lease this long after it was replaced. The margin is for the
 # time that a renewal takes.
 EARLIER_RENEWALS_MS = RENEWAL_KNOWLEDGE_MS + 1_000
@@ -54,6 +60,7 @@
 
     incarnation: str
     topic: TopicPort
+    progress_topic: TopicPort
     workers: WorkerPort
     replica: Replica
     operator: Callable[[], OperatorState]
@@ -79,14 +86,16 @@
         self._wake: Event = Event()
         self._orphans_until_ms = 0
         self._began_ms = parts.clock()
-        self._journal = Journal(
-            parts.topic,
-            self._book,
-            epoch,
-            sequence,
+        # The coordinator before may have known jobs that are not in the replica yet.
+        self._recorded: dict[str, JobProgress] = {}
+        self._progress_writer = FencedWriter(
+            "progress", parts.progress_topic, epoch, sequence, self.depose, parts.clock
+        )
+        self._journal = Journal(self._progress_writer, self._book, self._announce)
+        self._announcer = Announcer(
+            FencedWriter("jobs", parts.topic, epoch, sequence, self.depose, parts.clock),
             lambda: encode_coordinator(self._record),
-            self.depose,
-            parts.clock,
+            self._journal.remove,
         )
         self._hooks = SessionHooks(
             is_active=lambda: self._active,
@@ -112,12 +121,18 @@
         """Whether the term goes on."""
         return self._active
 
+    @property
+    def runs(self) -> tuple[RunName, ...]:
+        """The runs that take room on workers."""
+        return tuple(self._book.runs)
+
     def depose(self, reason: str) -> None:
         """End the term at once: another instance coordinates, or may."""
         if not self._active:
             return
         self._active = False
         self._journal.stop()
+        self._announcer.stop()
         self._parts.replica.remove_listener(self._on_job)
         self._notify()
         logger.warning("term_ended", extra={"epoch": self._epoch, "reason": reason})
@@ -126,13 +141,19 @@
         """Stop planning and tell the others that the next one may claim; renewals go on."""
         self._planning = False
         record = CoordinatorRecord(self._parts.incarnation, self._epoch, resigned=True)
-        stored = self._journal.close_with(encode_coordinator(record), timeout_ms)
+        stored = self._announcer.close_with(encode_coordinator(record), timeout_ms)
         logger.info("resigned", extra={"epoch": self._epoch, "stored": stored})
         return stored
 
     def run(self) -> None:
         """Load the book, open the sessions, and plan until the term ends."""
+        eventlet.spawn_n(logged(self._announcer.run))
         replica = self._parts.replica
+        # From here on the progress topic refuses the coordinator before.
+        if not self._progress_writer.write([encode_coordinator(self._record)]):
+            return
+        if not self._load_progress():
+            return
         replica.add_listener(self._on_job)
         for job_id in tuple(replica.job_ids):
             self._on_job(job_id)
@@ -154,6 +175,22 @@
             if self._planning:
                 self.depose("planning ended")
 
+    def _load_progress(self) -> bool:
+        """Load what the coordinators before have recorded; return whether the term goes on."""
+        while self._active:
+            loaded = load_progress(self._parts.progress_topic)
+            if not isinstance(loaded, ReadFailed):
+                self._recorded = loaded
+                return True
+            logger.warning("progress_unreadable", extra={"reason": loaded.reason})
+            eventlet.sleep(LOAD_RETRY_MS / 1_000)
+        return False
+
+    def _announce(self, job_id: str, state: JobState) -> None:
+        """Tell the state of a job that is recorded, unless all instances know it already."""
+        if self._parts.replica.recorded_state(job_id) is not state:
+            self._announcer.announce(job_id, state)
+
     def _plan_while_active(self) -> None:
         while self._active and self._planning:
             self._update_sessions()
@@ -173,9 +210,15 @@
         job = replica.job(job_id)
         if job is None:
             return
-        progress: JobProgress = replica.progress(job_id)
         if job_id not in self._book.jobs:
-            if progress.state.value in ("completed", "failed", "cancelled"):
+            if replica.recorded_state(job_id) in ENDED:
+                if self._recorded.pop(job_id, None) is not None:
+                    self._journal.remove(job_id)
+                return
+            progress = self._recorded.pop(job_id, JobProgress())
+            if progress.state in ENDED:
+                # The coordinator before recorded the end and did not get to tell it.
+                self._announcer.announce(job_id, progress.state)
                 return
             self._book.add(job, progress)
         if replica.is_cancelled(job_id):
--- a/libs/ledger/src/hornbeamfold/ledger/__init__.py
+++ b/libs/ledger/src/hornbeamfold/ledger/__init__.py
@@ -5,9 +5,12 @@
     encode_cancel,
     encode_coordinator,
     encode_job,
+    encode_no_progress,
     encode_progress,
+    encode_state,
 )
 from hornbeamfold.ledger.follower import Follower
+from hornbeamfold.ledger.progress import load_progress
 from hornbeamfold.ledger.replica import Replica
 
 __all__ = [
@@ -17,5 +20,8 @@
     "encode_cancel",
     "encode_coordinator",
     "encode_job",
+    "encode_no_progress",
     "encode_progress",
+    "encode_state",
+    "load_progress",
 ]
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -1,4 +1,4 @@
-"""Codec of the records: keys and JSON values of jobs, cancellations, progress and the coordinator.
+"""Codec of the records: keys and JSON values.
 
 Fields with their default value are left out, and finished jobs keep only their state.
 """
@@ -22,6 +22,7 @@
 
 JOB = "job/"
 CANCEL = "cancel/"
+STATE = "state/"
 PROGRESS = "progress/"
 COORDINATOR = "coordinator"
 
@@ -51,7 +52,7 @@
 
 
 @dataclass(frozen=True)
-class _StateOnly:
+class _State:
     state: JobState
 
 
@@ -80,6 +81,21 @@
     return msgspec.json.decode(value, type=CoordinatorRecord)
 
 
+def encode_state(job_id: str, state: JobState) -> KeyedRecord:
+    """Return the record of a job's state, which is all that callers are told."""
+    return KeyedRecord(STATE + job_id, msgspec.json.encode(_State(state)))
+
+
+def decode_state(value: bytes) -> JobState:
+    """Return the state of a record; raises msgspec.MsgspecError."""
+    return msgspec.json.decode(value, type=_State).state
+
+
+def encode_no_progress(job_id: str) -> KeyedRecord:
+    """Return the record that removes the progress of a job."""
+    return KeyedRecord(PROGRESS + job_id, b"")
+
+
 def encode_progress(
     job_id: str, state: JobState, tasks: Mapping[TaskRef, TaskProgress]
 ) -> KeyedRecord:
@@ -112,11 +128,6 @@
     return {name: listed for name, listed in rows.items() if listed}
 
 
-def decode_state(value: bytes) -> JobState:
-    """Return only the state of a progress record; raises msgspec.MsgspecError."""
-    return msgspec.json.decode(value, type=_StateOnly).state
-
-
 def decode_progress(value: bytes) -> JobProgress:
     """Return a progress record with its tasks; raises msgspec.MsgspecError."""
     document = msgspec.json.decode(value, type=_Progress)
--- /dev/null
+++ b/libs/ledger/src/hornbeamfold/ledger/progress.py
@@ -0,0 +1,35 @@
+"""Loads the progress of all jobs, which the coordinator keeps in a topic of its own."""
+
+import msgspec
+
+from hornbeamfold.batch import JobProgress, ReadFailed, TopicPort
+from hornbeamfold.ledger.codec import PROGRESS, decode_progress
+from hornbeamfold.telemetry import get_logger
+
+logger = get_logger("hornbeamfold.ledger.progress")
+
+
+def load_progress(topic: TopicPort) -> dict[str, JobProgress] | ReadFailed:
+    """Return the recorded progress by job.
+
+    Pages of the newest records are no snapshot, so nobody may write while they are read.
+    """
+    found: dict[str, JobProgress] = {}
+    after = ""
+    while True:
+        page = topic.newest(after)
+        if isinstance(page, ReadFailed):
+            return page
+        for record in page.records:
+            if not record.key.startswith(PROGRESS):
+                continue
+            try:
+                found[record.key.removeprefix(PROGRESS)] = decode_progress(record.value)
+            except msgspec.MsgspecError as error:
+                logger.error(
+                    "record_unreadable",
+                    extra={"key": record.key, "offset": record.offset, "error": str(error)},
+                )
+        if not page.has_more:
+            return found
+        after = page.records[-1].key
--- a/libs/ledger/src/hornbeamfold/ledger/replica.py
+++ b/libs/ledger/src/hornbeamfold/ledger/replica.py
@@ -1,19 +1,21 @@
-"""What an instance knows of all jobs: the newest record of each key, applied in log order."""
+"""What an instance knows of all jobs: the newest record of each key, applied in log order.
+
+How far the tasks of a job are is not part of it: only the coordinator needs that.
+"""
 
 from collections.abc import Callable, Iterable
 
 import msgspec
 
-from hornbeamfold.batch import ENDED, BatchJob, JobProgress, JobState, KeyedRecord
+from hornbeamfold.batch import ENDED, BatchJob, JobState, KeyedRecord
 from hornbeamfold.ledger.codec import (
     CANCEL,
     COORDINATOR,
     JOB,
-    PROGRESS,
+    STATE,
     CoordinatorRecord,
     decode_coordinator,
     decode_job,
-    decode_progress,
     decode_state,
 )
 from hornbeamfold.telemetry import get_logger
@@ -31,7 +33,6 @@
         self._jobs: dict[str, BatchJob] = {}
         self._cancelled: set[str] = set()
         self._states: dict[str, JobState] = {}
-        self._progress: dict[str, bytes] = {}
         self._offsets: dict[str, int] = {}
         self._coordinator: CoordinatorRecord | None = None
         self._waiting: dict[str, set[str]] = {}
@@ -63,18 +64,17 @@
         """Tell whether a cancellation of the job is recorded."""
         return job_id in self._cancelled
 
+    def recorded_state(self, job_id: str) -> JobState:
+        """Return the state that a coordinator told last."""
+        return self._states.get(job_id, JobState.PENDING)
+
     def state(self, job_id: str) -> JobState:
         """Return the state that callers see; a cancellation shows before it is carried out."""
-        state = self._states.get(job_id, JobState.PENDING)
+        state = self.recorded_state(job_id)
         if state not in ENDED and job_id in self._cancelled:
             return JobState.CANCELLED
         return state
 
-    def progress(self, job_id: str) -> JobProgress:
-        """Return the recorded progress of a job."""
-        raw = self._progress.get(job_id)
-        return decode_progress(raw) if raw is not None else JobProgress()
-
     def waiting(self, queue: str) -> int:
         """Return how many of the queue's jobs are pending, without those that run at set times."""
         return len(self._waiting.get(queue, ()))
@@ -105,10 +105,8 @@
             if self._coordinator is None or coordinator.epoch >= self._coordinator.epoch:
                 self._coordinator = coordinator
             return True
-        if kind + slash == PROGRESS:
-            state = decode_state(record.value)
-            self._states[job_id] = state
-            self._progress[job_id] = record.value
+        if kind + slash == STATE:
+            self._states[job_id] = decode_state(record.value)
             self._update_waiting(job_id)
             return True
         if kind + slash == JOB and job_id not in self._jobs:
--- a/libs/ledger/tests/test_replica.py
+++ b/libs/ledger/tests/test_replica.py
@@ -24,7 +24,7 @@
     encode_cancel,
     encode_coordinator,
     encode_job,
-    encode_progress,
+    encode_state,
 )
 
 JOB = BatchJob("a", "q", "s", "o", "body", (Step(1, Resources(1)),), 1, 2, 1.5, 300, 12)
@@ -35,9 +35,9 @@
     return replace(record, offset=offset)
 
 
-def progress(state: JobState) -> KeyedRecord:
-    """Return a progress record of the job."""
-    return encode_progress("a", state, {})
+def state(state: JobState) -> KeyedRecord:
+    """Return a record of the job's state."""
+    return encode_state("a", state)
 
 
 class ReplicaTest(unittest.TestCase):
@@ -45,8 +45,8 @@
         self.replica = Replica()
 
     def test_an_older_record_does_not_bring_a_state_back(self) -> None:
-        self.replica.apply([at(0, encode_job(JOB)), at(5, progress(JobState.COMPLETED))])
-        self.replica.apply([at(3, progress(JobState.RUNNING))])
+        self.replica.apply([at(0, encode_job(JOB)), at(5, state(JobState.COMPLETED))])
+        self.replica.apply([at(3, state(JobState.RUNNING))])
         self.assertEqual(self.replica.state("a"), JobState.COMPLETED)
 
     def test_a_cancellation_shows_before_it_is_carried_out(self) -> None:
@@ -57,7 +57,7 @@
         self.replica.apply(
             [
                 at(0, encode_job(JOB)),
-                at(1, progress(JobState.COMPLETED)),
+                at(1, state(JobState.COMPLETED)),
                 at(2, encode_cancel("a", "o")),
             ]
         )
@@ -67,7 +67,7 @@
         timed = replace(JOB, job_id="t", repetitions=2)
         self.replica.apply([at(0, encode_job(JOB)), at(1, encode_job(timed))])
         self.assertEqual(self.replica.waiting("q"), 1)
-        self.replica.apply([at(2, progress(JobState.RUNNING))])
+        self.replica.apply([at(2, state(JobState.RUNNING))])
         self.assertEqual(self.replica.waiting("q"), 0)
 
     def test_the_coordinator_never_goes_back(self) -> None:
@@ -76,7 +76,7 @@
         self.assertEqual(self.replica.coordinator, CoordinatorRecord("b", 5))
 
     def test_foreign_bytes_stop_nothing(self) -> None:
-        foreign = [KeyedRecord("job/x", b"\xff", 0), KeyedRecord("progress/x", b"[]", 1)]
+        foreign = [KeyedRecord("job/x", b"\xff", 0), KeyedRecord("state/x", b"[]", 1)]
         self.replica.apply([*foreign, at(2, encode_job(JOB))])
         self.assertEqual(list(self.replica.job_ids), ["a"])
 
