Do not take runs for lost because the list of workers is of an earlier term

An instance that coordinates again had the list of workers of its term before, as it follows the list only while it coordinates. A worker that was born again meanwhile had its older incarnation there, and runs on the newer one were taken for lost at once.

Change: sessions are opened once the list was read in this term, and only runs of an incarnation that is older than the entry are lost.

--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -56,7 +56,11 @@
 
 @dataclass(frozen=True)
 class TermParts:
-    """What a term works with; `knowledge_ms` is when all of it was last confirmed, if ever."""
+    """What a term works with.
+
+    `knowledge_ms` is when all of it was last confirmed, if ever, and `registry_read_ms` when the
+    list of workers was.
+    """
 
     incarnation: str
     topic: TopicPort
@@ -65,6 +69,7 @@
     replica: Replica
     operator: Callable[[], OperatorState]
     registry: Callable[[], Mapping[str, Worker]]
+    registry_read_ms: Callable[[], int | None]
     knowledge_ms: Callable[[], int | None]
     bounds: Bounds
     clock: Clock
@@ -227,7 +232,14 @@
             self._journal.notify()
         self._notify()
 
+    def _registry_is_read(self) -> bool:
+        """Tell whether the list of workers is of this term; an earlier one may be outdated."""
+        read_ms = self._parts.registry_read_ms()
+        return read_ms is not None and read_ms >= self._began_ms
+
     def _update_sessions(self) -> None:
+        if not self._registry_is_read():
+            return
         registry = self._parts.registry()
         for worker_id, worker in registry.items():
             session = self._sessions.get(worker_id)
@@ -255,7 +267,8 @@
         )
         self._sessions[worker.worker_id] = session
         for run in self._book.runs_on(worker.worker_id):
-            if run.born_ms != worker.born_ms:
+            # An entry may also be of an earlier incarnation than the run.
+            if run.born_ms < worker.born_ms:
                 self._end(run.name, RunEnd.LOST)
         eventlet.spawn_n(logged(session.run))
 
