Let one instance of a region read the store for the others

Change: a library relay. An instance claims the task for its region in the store; the others read the topics of jobs and of the operator from it, each key only in its newest version, and read the store themselves for a second whenever it does not answer. How old the relay's knowledge is goes with each answer, and silence of the coordinator is counted in confirmed time. Instances that would coordinate first read the store directly. Slow instances claim to coordinate later.

--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -32,6 +32,7 @@
     "bench",
     "batch",
     "ledger",
+    "relay",
     "scheduling",
     "gateway",
     "coordinator",
--- a/libs/coordinator/src/hornbeamfold/coordinator/election.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/election.py
@@ -23,6 +23,9 @@
 # A round trip longer than this crosses regions. A coordinator there spends it on every append.
 NEAR_ROUND_TRIP_MS = 25
 FAR_DELAY_MS = 400
+# A planning pass and the orders of a burst take a slow processor several times as long.
+FAST_CORES = 1.0
+SLOW_DELAY_MS = 400
 CLAIM_TIMEOUT_MS = 1_200
 # A claim that the store took is read back well within this time.
 CLAIM_PAUSE_MS = 700
@@ -41,6 +44,7 @@
         clock: Clock,
         may_claim: Callable[[], bool],
         round_trip_ms: Callable[[], float],
+        cores: float = FAST_CORES,
         read_soon: Callable[[], None] = lambda: None,
     ) -> None:
         self._incarnation = incarnation
@@ -49,6 +53,7 @@
         self._clock = clock
         self._may_claim = may_claim
         self._round_trip_ms = round_trip_ms
+        self._cores = cores
         self._read_soon = read_soon
         self._random = Random(incarnation)
         self._last_read_ms: int | None = None
@@ -63,19 +68,26 @@
         """Return the sequence number with which an epoch was claimed here."""
         return self._sequences[epoch]
 
-    def on_read(self, succeeded: bool) -> None:
-        """Count the time in which the log was read and the coordinator wrote nothing."""
-        now = self._clock()
-        if not succeeded or self._last_read_ms is None:
+    @property
+    def favoured(self) -> bool:
+        """Whether this instance is near the store and fast, and so claims before others."""
+        return self._round_trip_ms() <= NEAR_ROUND_TRIP_MS and self._cores >= FAST_CORES
+
+    def on_read(self, confirmed_ms: int | None) -> None:
+        """Count the time in which the log was read and the coordinator wrote nothing.
+
+        `confirmed_ms` is when all of the log was known last, or None after a failed read.
+        """
+        if confirmed_ms is None or self._last_read_ms is None:
             # Silence that an instance could not have heard is not the coordinator's.
             self._silence_ms = 0
-            self._last_read_ms = now if succeeded else None
+            self._last_read_ms = confirmed_ms
             return
-        self._silence_ms += min(now - self._last_read_ms, SILENCE_MS // 2)
+        self._silence_ms += min(confirmed_ms - self._last_read_ms, SILENCE_MS // 2)
         if self._heard:
             self._silence_ms = 0
             self._heard = False
-        self._last_read_ms = now
+        self._last_read_ms = confirmed_ms
 
     def heard(self) -> None:
         """Note that the records of the read that is being applied have some of the coordinator."""
@@ -99,6 +111,8 @@
         wait_ms = self._jitter_ms
         if self._round_trip_ms() > NEAR_ROUND_TRIP_MS:
             wait_ms += FAR_DELAY_MS
+        if self._cores < FAST_CORES:
+            wait_ms += SLOW_DELAY_MS
         if present is not None and not present.resigned:
             wait_ms += SILENCE_MS
         if self._silence_ms < wait_ms or not self._may_claim():
--- a/libs/ledger/src/hornbeamfold/ledger/follower.py
+++ b/libs/ledger/src/hornbeamfold/ledger/follower.py
@@ -14,6 +14,8 @@
 RETRY_MS = 150
 
 Apply = Callable[[Sequence[KeyedRecord]], None]
+# Told after each read when all records were known last, or None if the read failed.
+ReadHook = Callable[[int | None], None]
 
 
 class Follower:
@@ -45,7 +47,8 @@
         self._confirmed_ms: int | None = None
         self._failing_since: int | None = None
         self._wake: Event = Event()
-        self._read_hooks: list[Callable[[bool], None]] = []
+        self._read_hooks: list[ReadHook] = []
+        self._known_end = 0
 
     @property
     def loaded(self) -> bool:
@@ -68,8 +71,13 @@
             return float("inf")
         return self._clock() - self._confirmed_ms
 
-    def on_read(self, hook: Callable[[bool], None]) -> None:
-        """Call a hook after each read, with whether it succeeded."""
+    @property
+    def known_end(self) -> int:
+        """One past the last record that was applied."""
+        return self._known_end
+
+    def on_read(self, hook: ReadHook) -> None:
+        """Call a hook after each read."""
         self._read_hooks.append(hook)
 
     def wake(self) -> None:
@@ -105,6 +113,9 @@
             if isinstance(page, ReadFailed):
                 self._failed(page.reason)
                 return False
+            if first_end is None and page.end < self._known_end:
+                self._failed("the newest records are older than those read before")
+                return False
             if first_end is None:
                 # Records written after the first page was read may be missing from the pages.
                 first_end, confirmed_ms = page.end, page.confirmed_ms
@@ -114,7 +125,7 @@
             after = page.records[-1].key
         self._on_reload()
         self._apply(records)
-        self._next_offset = first_end
+        self._next_offset = self._known_end = first_end
         self._succeeded(confirmed_ms)
         logger.info("topic_loaded", extra={"topic": self._name, "next_offset": first_end})
         return True
@@ -146,7 +157,7 @@
         if outcome.records:
             self._apply(outcome.records)
         if self._next_offset is None or outcome.next_offset > self._next_offset:
-            self._next_offset = outcome.next_offset
+            self._next_offset = self._known_end = outcome.next_offset
         confirmed = outcome.confirmed_ms if outcome.next_offset >= outcome.end else None
         self._succeeded(confirmed)
 
@@ -160,11 +171,11 @@
             )
             self._failing_since = None
         for hook in self._read_hooks:
-            hook(True)
+            hook(self._confirmed_ms)
 
     def _failed(self, reason: str) -> None:
         if self._failing_since is None:
             self._failing_since = self._clock()
             logger.warning("store_lost", extra={"topic": self._name, "reason": reason})
         for hook in self._read_hooks:
-            hook(False)
+            hook(None)
--- /dev/null
+++ b/libs/relay/src/hornbeamfold/relay/__init__.py
@@ -0,0 +1,19 @@
+"""One instance of a region reads topics from the store for the others there."""
+
+from hornbeamfold.relay.codec import Page, RelayRecord
+from hornbeamfold.relay.directory import Directory, Place
+from hornbeamfold.relay.mirror import Mirror
+from hornbeamfold.relay.port import Fetch, relayed_port
+from hornbeamfold.relay.server import PATH, answer
+
+__all__ = [
+    "PATH",
+    "Directory",
+    "Fetch",
+    "Mirror",
+    "Page",
+    "Place",
+    "RelayRecord",
+    "answer",
+    "relayed_port",
+]
--- a/libs/soak/src/hornbeamfold/soak/scene.py
+++ b/libs/soak/src/hornbeamfold/soak/scene.py
@@ -32,6 +32,8 @@
 from hornbeamfold.soak.witness import Witness
 
 ZONES = ("sousse", "monastir", "sfax")
+# Slow instances read through the relay of their region, which is one of the fast ones.
+CORES = (1.0, 0.5)
 # A key that faults take away; the load's own key always holds.
 SPARE_KEY = "key-spare"
 # A worker's clock may be 2% slow.
@@ -56,7 +58,11 @@
         self._name = f"entry-{index}"
         self._store_link = Link(f"{self._name} to store", lambda: platform.store_address)
         self._settings = write_settings(
-            self._name, ZONES[index % len(ZONES)], self._store_link.address, folder
+            self._name,
+            ZONES[index % len(ZONES)],
+            self._store_link.address,
+            folder,
+            CORES[index % len(CORES)],
         )
         self._process = start_instance(self._settings)
         self._caller_link = Link(f"callers to {self._name}", lambda: self._process.caller_address)
