Count the pace of adopted runs from their first report

Change: a run has the progress from which its time is counted; adopted runs and those that resume from a checkpoint take it from their first report, and count for the usual time of their step only if the whole run was seen. The test fails before.

--- a/libs/coordinator/src/hornbeamfold/coordinator/book.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/book.py
@@ -29,7 +29,9 @@
     """A run that is recorded and whose end is not; it takes room until its end is known.
 
     `settled_ms` is when it became certain that the worker has the start order or never will.
-    `moved_ms` is when its progress last changed. All times are on the coordinator's clock.
+    `moved_ms` is when its progress last changed. `from_percent` is its progress at `begun_ms`; None
+    if the run began under an earlier coordinator or from a checkpoint and no report has told yet,
+    after which `begun_ms` is the time of that report. All times are on the coordinator's clock.
     """
 
     name: RunName
@@ -42,6 +44,13 @@
     percent: float = 0.0
     moved_ms: int = 0
     checkpoint: str = ""
+    from_percent: float | None = 0.0
+
+    def whole_ms(self, now_ms: int, least_percent: float) -> float | None:
+        """Return how long a whole run takes at its pace; None if too little is known of it."""
+        if self.from_percent is None or self.percent - self.from_percent < least_percent:
+            return None
+        return (now_ms - self.begun_ms) * 100 / (self.percent - self.from_percent)
 
 
 class Book:
@@ -107,6 +116,7 @@
                     settled_ms=now,
                     moved_ms=now,
                     checkpoint=task.checkpoint,
+                    from_percent=None,
                 )
             )
 
@@ -155,6 +165,7 @@
                 now,
                 moved_ms=now,
                 checkpoint=task.checkpoint,
+                from_percent=None if task.checkpoint else 0.0,
             )
             self._add_run(run)
             begun.append(run)
@@ -177,11 +188,14 @@
         run = self._runs.get(task.name)
         if run is None:
             return
+        now = self._clock()
+        if run.from_percent is None:
+            run = replace(run, begun_ms=now, from_percent=task.percent)
         moved = task.percent != run.percent
         self._runs[task.name] = replace(
             run,
             percent=task.percent,
-            moved_ms=self._clock() if moved else run.moved_ms,
+            moved_ms=now if moved else run.moved_ms,
             checkpoint=task.checkpoint or run.checkpoint,
         )
 
@@ -218,7 +232,7 @@
             return ()
         if not tracked.finish(name, end, checkpoint or run.checkpoint):
             return ()
-        if end is RunEnd.DONE and not run.checkpoint:
+        if end is RunEnd.DONE and run.from_percent == 0:
             tracked.add_finished(name.task, self._clock() - run.begun_ms)
         if end is RunEnd.FAILED:
             tracked.add_avoided(name.task, run.worker_id)
--- a/libs/coordinator/src/hornbeamfold/coordinator/pace.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pace.py
@@ -49,10 +49,9 @@
 
 def whole_ms(run: Run, now_ms: int) -> float | None:
     """Return how long a run will take in all at its pace; None if too little is known of it."""
-    elapsed = now_ms - run.begun_ms
-    if run.percent < MIN_PERCENT or elapsed < MIN_ELAPSED_MS or run.checkpoint:
+    if now_ms - run.begun_ms < MIN_ELAPSED_MS:
         return None
-    return elapsed * 100 / run.percent
+    return run.whole_ms(now_ms, MIN_PERCENT)
 
 
 def usual_ms(book: Book, run: Run, now_ms: int) -> float | None:
--- a/libs/coordinator/src/hornbeamfold/coordinator/survey.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/survey.py
@@ -139,8 +139,9 @@
     step = tracked.job.steps[run.name.task.step]
     elapsed = now_ms - run.begun_ms
     remaining = step.estimate_ms - elapsed
-    if run.percent >= MIN_PERCENT:
-        remaining = int(elapsed * (100 - run.percent) / run.percent)
+    whole = run.whole_ms(now_ms, MIN_PERCENT)
+    if whole is not None:
+        remaining = int(whole * (100 - run.percent) / 100)
     cores = step.demand.cpu_millis / 1_000
     cores += CORES_PER_ACCELERATOR * step.demand.accelerators
     # A checkpoint keeps the work but for the restart.
--- a/libs/coordinator/tests/test_pace.py
+++ b/libs/coordinator/tests/test_pace.py
@@ -4,7 +4,17 @@
 
 from coordinator_cases import ManualClock, book_with, job, worker
 
-from hornbeamfold.batch import Resources, RunningTask, Step, TaskRef
+from hornbeamfold.batch import (
+    JobProgress,
+    JobState,
+    Resources,
+    RunEnd,
+    RunName,
+    RunningTask,
+    Step,
+    TaskRef,
+)
+from hornbeamfold.coordinator.book import Book
 from hornbeamfold.coordinator.pace import STALLED_MS, late_runs
 
 REFS = [TaskRef(0, 0, index) for index in range(3)]
@@ -51,6 +61,24 @@
             with self.subTest(name):
                 self.assertEqual(self.found(*reports, step=step, other=other), expected)
 
+    def test_runs_of_an_earlier_coordinator_say_nothing_of_the_time_before(self) -> None:
+        """Guards against runs that look fast, and others slow, after a takeover."""
+        clock = ManualClock(0)
+        before = book_with(clock, job("a", Step(3, Resources(1), 2_500)))
+        before.begin("a", REFS, [worker(), worker("w2"), worker("w3")])
+        _, tasks = before.recorded_form("a")
+        clock.move(10_000)
+        book = Book(clock)
+        book.add(job("a", Step(3, Resources(1), 2_500)), JobProgress(JobState.RUNNING, tasks))
+        names = [RunName("a", ref, 1) for ref in REFS]
+        for at_ms, percents in ((10_000, (20.0, 90.0, 90.0)), (11_000, (24.0, 94.0, 94.0))):
+            clock.move(at_ms - clock())
+            for name, percent in zip(names, percents, strict=True):
+                book.note_running(RunningTask(name, "", percent))
+        for name in names[1:]:
+            book.end(name, RunEnd.DONE)
+        self.assertEqual(late_runs(book, book.runs_on("w1"), clock()), [])
+
 
 if __name__ == "__main__":
     unittest.main()
