Leave room for the urgent work that is expected

Patient work takes whatever is idle, so that nearly each urgent job has to stop some.

Change: patient steps leave free what urgent steps have asked for in a mean second of the last four, unless they are at risk of missing their own objective.

--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -26,6 +26,7 @@
 )
 from hornbeamfold.coordinator.announcer import Announcer
 from hornbeamfold.coordinator.book import Book, Run
+from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.journal import Journal
@@ -85,6 +86,7 @@
         self._record = CoordinatorRecord(parts.incarnation, epoch)
         self._book = Book(parts.clock)
         self._health = WorkerHealth(parts.clock)
+        self._demand = UrgentDemand()
         self._sessions: dict[str, Session] = {}
         self._active = True
         self._planning = True
@@ -372,7 +374,9 @@
         )
         if not steps or not free:
             return
-        made = plan(steps, free, occupants(self._book, began), began)
+        self._demand.note(steps, began)
+        headroom = self._demand.headroom()
+        made = plan(steps, free, occupants(self._book, began), began, headroom)
         _plan_ms(self._parts.clock() - began)
         self._carry_out(made)
 
--- a/libs/scheduling/src/hornbeamfold/scheduling/draft.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/draft.py
@@ -28,7 +28,9 @@
         self._free: dict[str, Resources] = {}
         self._racks: dict[str, list[str]] = {}
         self._holds: list[Hold] = []
+        self._idle: dict[str, int] = {}
         for room in rooms:
+            self._idle[room.service] = self._idle.get(room.service, 0) + room.free.accelerators
             self._rooms[room.worker_id] = room
             self._free[room.worker_id] = room.free
             self._racks.setdefault(room.rack, []).append(room.worker_id)
@@ -55,13 +57,14 @@
         """Return what is free on a worker, held room included."""
         return self._free[worker_id]
 
+    def idle_accelerators(self, service: str) -> int:
+        """Return how many accelerators of a service are free, held ones included."""
+        return self._idle.get(service, 0)
+
     def take(self, worker_id: str, amount: Resources) -> None:
         """Use room on a worker."""
         self._free[worker_id] = self._free[worker_id] - amount
-
-    def give(self, worker_id: str, amount: Resources) -> None:
-        """Return room on a worker."""
-        self._free[worker_id] = self._free[worker_id] + amount
+        self._idle[self._rooms[worker_id].service] -= amount.accelerators
 
     def hold(self, hold: Hold) -> None:
         """Keep room for a waiting step; only tasks that end before its start may use it."""
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -1,6 +1,6 @@
 """One planning pass: ready steps in order, each placed whole or as far as room goes."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
 from hornbeamfold.scheduling.draft import Draft, Hold, pack
@@ -19,6 +19,10 @@
 # So many blocked steps have room held for them. With one, a large gang at the head would be passed
 # by every large gang behind it; with many, most of the room would be held and idle.
 MAX_RESERVATIONS = 2
+# Work that would miss its objective if it took this many times its estimate from now on no longer
+# leaves room for urgent work that may come.
+RISK_FACTOR = 1.5
+NO_HEADROOM: Mapping[str, int] = {}
 
 
 def order_key(step: ReadyStep, now_ms: int) -> tuple[bool, int, bool, int, str, int, int]:
@@ -43,8 +47,13 @@
     rooms: Sequence[Room],
     occupants: Sequence[Occupant],
     now_ms: int,
+    headroom: Mapping[str, int] = NO_HEADROOM,
 ) -> Plan:
-    """Return the starts and stops for this moment; times are on the coordinator's clock."""
+    """Return the starts and stops for this moment; times are on the coordinator's clock.
+
+    `headroom` is how many accelerators of each service patient work leaves free for urgent work
+    that is expected, so that less has to be stopped for it.
+    """
     draft = Draft(rooms)
     assignments: list[Assignment] = []
     preemptions: list[Preemption] = []
@@ -54,7 +63,8 @@
     reservations = 0
     for step in sorted(steps, key=lambda each: order_key(each, now_ms)):
         groups = candidate_groups(draft, step, now_ms)
-        chosen = _place(draft, step, groups, now_ms)
+        most = _most_tasks(draft, step, headroom.get(step.job.service, 0), now_ms)
+        chosen = _place(draft, step, groups, now_ms, most)
         for index, worker_id in zip(step.waiting, chosen, strict=False):
             draft.take(worker_id, step.step.reserved)
             reason = "entitled" if step.entitled else "tightest fit"
@@ -79,12 +89,25 @@
     return Plan(tuple(assignments), tuple(preemptions), blocked)
 
 
+def _most_tasks(draft: Draft, step: ReadyStep, headroom: int, now_ms: int) -> int:
+    """Return how many tasks may be placed so that enough stays free for urgent work."""
+    count = len(step.waiting)
+    needed = step.step.demand.accelerators
+    urgent = step.entitled or step.job.priority == 0
+    at_risk = now_ms + RISK_FACTOR * step.step.estimate_ms > step.due_ms
+    if urgent or at_risk or needed == 0 or headroom == 0:
+        return count
+    allowed = max(0, draft.idle_accelerators(step.job.service) - headroom) // needed
+    if allowed >= count:
+        return count
+    return 0 if step.step.gang else allowed
+
+
 def _place(
-    draft: Draft, step: ReadyStep, groups: Sequence[Sequence[str]], now_ms: int
+    draft: Draft, step: ReadyStep, groups: Sequence[Sequence[str]], now_ms: int, count: int
 ) -> list[str]:
-    """Return workers for the waiting tasks: all of a gang or none, else as many as fit."""
+    """Return workers for `count` waiting tasks: all of a gang or none, else as many as fit."""
     ends_ms = now_ms + step.step.estimate_ms
-    count = len(step.waiting)
     best: list[str] = []
     for group in groups:
         chosen = pack(draft, step, count, group, lambda each: draft.available(each, ends_ms))
--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -83,6 +83,27 @@
                 self.assertEqual(placed(made), {"b": ["w1"]})
 
 
+class HeadroomTest(unittest.TestCase):
+    def test_patient_work_leaves_room_for_urgent_work(self) -> None:
+        wide = Step(16, resources(1), estimate_ms=1_000)
+        gang = Step(2, resources(6), estimate_ms=1_000, gang=True)
+        cases = [
+            ("tasks", ready("a", wide), 6, 10),
+            ("a gang waits whole", ready("a", gang), 6, 0),
+            ("a gang that leaves enough", ready("a", gang), 4, 2),
+            ("urgent work itself", ready("a", wide, 0), 6, 16),
+            ("guaranteed work", ready("a", wide, entitled=True), 6, 16),
+            ("work at risk", ready("a", wide, due_ms=NOW + 1_400), 6, 16),
+            ("work without accelerators", ready("a", Step(4, resources(0))), 16, 4),
+            ("another service", ready("a", wide), 0, 16),
+        ]
+        for name, step, headroom, expected in cases:
+            with self.subTest(name):
+                rooms = [room("w1"), room("w2")]
+                made = plan([step], rooms, [], NOW, {"planner": headroom, "other": 16})
+                self.assertEqual(len(made.assignments), expected)
+
+
 class ReservationTest(unittest.TestCase):
     def test_equal_ends_are_compared(self) -> None:
         """Guards against runs of one gang, which end together, failing the pass."""
