Take workers that have left for gone, and keep leases at 6 s

Change: a worker that said it would leave, is no longer listed, and at whose address nobody listens is gone at once. Leases are 6 s at most, so what is lost for other reasons begins again sooner.

--- a/libs/batch/src/hornbeamfold/batch/ports.py
+++ b/libs/batch/src/hornbeamfold/batch/ports.py
@@ -143,9 +143,13 @@
 
 @dataclass(frozen=True)
 class NoAnswer:
-    """The order may have been carried out, or may be carried out later."""
+    """The order may have been carried out, or may be carried out later.
+
+    `nobody_listens` tells that the worker's address answered and has no listener.
+    """
 
     reason: str
+    nobody_listens: bool = False
 
 
 OrderOutcome = Accepted | Refused | NoAnswer
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -43,6 +43,9 @@
 # A coordinator that has not confirmed its knowledge for so long extends no lease: another one may
 # have taken over, which counts on that. Outages of the store that are shorter cost no work.
 RENEWAL_KNOWLEDGE_MS = 6_000
+# Work on a worker that is lost begins again after its lease; with this and the time above, work
+# goes on for 12 s without the store.
+MAX_LEASE_MS = 6_000
 # Orders that one worker gets at the same time, each on a connection of its own.
 PARALLEL_ORDERS = 6
 # One order in twenty may be lost or late at a worker; two in a row say that it is away.
@@ -55,6 +58,11 @@
 VALIDITY_MARGIN_MS = 700
 
 
+def lease_ms(bounds: Bounds) -> int:
+    """Return for how long a renewal lets a worker go on."""
+    return min(bounds.lease_max_ms, MAX_LEASE_MS)
+
+
 @dataclass(frozen=True)
 class SessionHooks:
     """What a session tells its coordinator."""
@@ -92,6 +100,7 @@
         self._bounds = bounds
         self._clock = clock
         self._lease_until_ms = lease_until_ms
+        self._lease_ms = lease_ms(bounds)
         self._acknowledged = 0
         self._clock_ms = 0
         self._clock_at_ms: int | None = None
@@ -130,6 +139,11 @@
         """The time after which everything on the worker has ended if no renewal reaches it."""
         return self._lease_until_ms
 
+    @property
+    def _has_left(self) -> bool:
+        """Whether the worker said that it would leave, and is no longer in the platform's list."""
+        return self._worker.draining and not self._registered
+
     def update(self, worker: Worker) -> None:
         """Take over what the platform's list now says of the worker."""
         self._registered = True
@@ -187,10 +201,12 @@
                 case Refused(reason, _):
                     self._note_lost(reason.value)
                     eventlet.sleep(RETRY_MS / 1_000)
-                case NoAnswer(reason):
+                case NoAnswer(reason, nobody_listens):
                     self._note_lost(reason)
                     if self._clock() > self._lease_until_ms:
                         self._hooks.on_gone(self, "lease expired")
+                    elif nobody_listens and self._has_left:
+                        self._hooks.on_gone(self, "left")
                     eventlet.sleep(RETRY_MS / 1_000)
 
     def _note_lost(self, reason: str) -> None:
@@ -219,13 +235,13 @@
             return None
         if now_ms - knowledge > RENEWAL_KNOWLEDGE_MS:
             return None
-        return clock + self._bounds.lease_max_ms
+        return clock + self._lease_ms
 
     def _note_lease(self, renewal: LeaseRenewal, sent_ms: int) -> None:
         """Note until when the worker may go on if it gets this renewal, answered or not."""
         if renewal.expires_ms is None:
             return
-        until = sent_ms + int(self._bounds.lease_max_ms / CLOCK_RATE) + CLOCK_MARGIN_MS
+        until = sent_ms + int(self._lease_ms / CLOCK_RATE) + CLOCK_MARGIN_MS
         self._lease_until_ms = max(self._lease_until_ms, until)
 
     def _take(self, report: LeaseReport, sent_ms: int) -> None:
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -36,6 +36,7 @@
     RENEWAL_KNOWLEDGE_MS,
     Session,
     SessionHooks,
+    lease_ms,
 )
 from hornbeamfold.coordinator.survey import occupants, ready_steps, rooms
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator, load_progress
@@ -164,8 +165,8 @@
         replica.add_listener(self._on_job)
         for job_id in tuple(replica.job_ids):
             self._on_job(job_id)
-        lease_ms = int(self._parts.bounds.lease_max_ms / CLOCK_RATE)
-        self._orphans_until_ms = self._began_ms + EARLIER_RENEWALS_MS + lease_ms
+        longest_lease_ms = int(lease_ms(self._parts.bounds) / CLOCK_RATE)
+        self._orphans_until_ms = self._began_ms + EARLIER_RENEWALS_MS + longest_lease_ms
         logger.info(
             "term_began",
             extra={
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -1,6 +1,7 @@
 """Tests of a worker's session."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from coordinator_cases import BOUNDS, Calls, ManualClock, book_with, job, session, worker
@@ -122,6 +123,36 @@
         session(calls, clock, renew).run()
         self.assertEqual(calls.named("gone"), ["reborn"])
 
+    def test_a_worker_that_has_left_is_gone_before_its_lease_expires(self) -> None:
+        """Guards against runs that wait for the lease of a worker that said it would leave."""
+        cases = [
+            ("left", True, False, True, ["left"]),
+            ("still listed", True, True, True, []),
+            ("did not say so", False, False, True, []),
+            ("silent", True, False, False, []),
+        ]
+        for name, draining, listed, nobody_listens, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(self.gone(draining, listed, nobody_listens), expected)
+
+    def gone(self, draining: bool, listed: bool, nobody_listens: bool) -> list[object]:
+        """Return why a worker that does not answer two renewals counts as gone."""
+        clock, calls = ManualClock(), Calls()
+        tries: list[LeaseRenewal] = []
+
+        def renew(renewal: LeaseRenewal) -> NoAnswer:
+            tries.append(renewal)
+            if len(tries) == 2:
+                calls.end()
+            return NoAnswer("down", nobody_listens)
+
+        made = session(calls, clock, renew)
+        made.update(replace(worker(), draining=draining))
+        if not listed:
+            made.unregister()
+        made.run()
+        return calls.named("gone")
+
     def test_a_higher_token_ends_the_term(self) -> None:
         clock, calls = ManualClock(), Calls()
         session(calls, clock, lambda _: Refused(Refusal.FENCED)).run()
