--- a/libs/cli/src/hornbeamfold/cli/main.py
+++ b/libs/cli/src/hornbeamfold/cli/main.py
@@ -5,6 +5,7 @@
 from typer import Context, Option, Typer
 
 from hornbeamfold.cli.configuration import configuration_app, instances, placements
+from hornbeamfold.cli.explain import explain
 from hornbeamfold.cli.jobs import job_app
 from hornbeamfold.cli.organisations import organisation_app
 from hornbeamfold.cli.output import examples
@@ -34,6 +35,9 @@
 app.add_typer(configuration_app, name="configuration")
 app.command("placements", epilog=examples("hornbeamfold placements"))(placements)
 app.command("instances", epilog=examples("hornbeamfold instances"))(instances)
+app.command(
+    "explain", epilog=examples("hornbeamfold explain 4d41419601fcd001 --logs a.log --logs b.log")
+)(explain)
 
 
 @app.callback()
--- /dev/null
+++ b/libs/cli/tests/test_explain.py
@@ -0,0 +1,60 @@
+"""Tests of the life of a request from logs."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from typer.testing import CliRunner
+
+from hornbeamfold.cli.main import app
+
+LOGS = {
+    "a.log": [
+        {
+            "time": "10:00:01",
+            "instance": "a",
+            "event": "answered",
+            "request": "r1",
+            "call": "submit",
+        },
+        {"time": "10:00:02", "instance": "a", "event": "store_lost", "topic": "jobs"},
+        {"time": "10:00:09", "instance": "a", "event": "store_lost", "topic": "operators"},
+    ],
+    "b.log": [
+        {"time": "10:00:04", "instance": "b", "event": "runs_lost", "requests": ["r2", "r1"]},
+        {"time": "10:00:03", "instance": "b", "event": "placed", "request": "r1", "waited_ms": 7},
+        {"time": "10:00:03", "instance": "b", "event": "placed", "request": "r2"},
+    ],
+}
+
+
+class ExplainTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.arguments: list[str] = []
+        for name, lines in LOGS.items():
+            path = Path(folder.name) / name
+            text = "\n".join(f"  0.1 {name} {json.dumps(line)}" for line in lines)
+            path.write_text(text + '\nnot JSON\n{"cut off', encoding="utf-8")
+            self.arguments += ["--logs", str(path)]
+
+    def test_lines_of_all_instances_in_order_of_time(self) -> None:
+        result = CliRunner().invoke(app, ["--output", "json", "explain", "r1", *self.arguments])
+        self.assertEqual(result.exit_code, 0, result.output)
+        found = [(line["instance"], line["event"]) for line in json.loads(result.stdout)]
+        expected = [("a", "answered"), ("a", "store_lost"), ("b", "placed"), ("b", "runs_lost")]
+        self.assertEqual(found, expected)
+
+    def test_text_has_the_inputs_of_each_decision(self) -> None:
+        result = CliRunner().invoke(app, ["explain", "r1", *self.arguments])
+        self.assertIn("waited_ms=7", result.stdout)
+
+    def test_an_unknown_request(self) -> None:
+        result = CliRunner().invoke(app, ["explain", "r9", *self.arguments])
+        self.assertEqual(result.exit_code, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
