Move work off workers that leave before it can end

Change: a run that will not end in the time its worker has left is stopped at once if it has checkpoints, and otherwise if it would miss the end by 3 s or more, as workers often stay longer.

--- a/libs/coordinator/src/hornbeamfold/coordinator/pace.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pace.py
@@ -1,10 +1,10 @@
-"""Finds runs that stand still or are far slower than others of their step."""
+"""Finds runs that stand still, are far slower than others of their step, or cannot end in time."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from statistics import median
 
-from hornbeamfold.batch import RunName, Step
+from hornbeamfold.batch import RunName, Step, Worker
 from hornbeamfold.coordinator.book import Book, Run
 
 # A run whose progress stands still for so long, over at least two reports, is started elsewhere.
@@ -20,6 +20,8 @@
 MOVE_GAIN = 1.4
 # Placing, recording and starting a run again.
 RESTART_MS = 300
+# A worker that drains often stays longer than it says; work that would be lost gets this chance.
+LINGER_MS = 3_000
 
 
 @dataclass(frozen=True)
@@ -47,6 +49,34 @@
     return found
 
 
+def leaving_runs(book: Book, runs: Iterable[Run], worker: Worker, now_ms: int) -> list[LateRun]:
+    """Return the runs that will not end before their worker leaves.
+
+    What has checkpoints loses nothing by moving early. Lasting work stays to the end.
+    """
+    if not worker.draining:
+        return []
+    found: list[LateRun] = []
+    for run in runs:
+        tracked = book.jobs.get(run.name.job_id)
+        if tracked is None or run.stop_reason or run.settled_ms is None:
+            continue
+        step = tracked.job.steps[run.name.task.step]
+        chance_ms = 0 if step.checkpointing else LINGER_MS
+        left_ms = remaining_ms(run, step, now_ms)
+        if not step.long_running and left_ms > worker.drain_remaining_ms + chance_ms:
+            found.append(LateRun(run.name, "worker leaves"))
+    return found
+
+
+def remaining_ms(run: Run, step: Step, now_ms: int) -> float:
+    """Return how long a run goes on, by its pace if that is known and else by its estimate."""
+    whole = run.whole_ms(now_ms, MIN_PERCENT)
+    if whole is None:
+        return step.estimate_ms - (now_ms - run.begun_ms)
+    return whole * (100 - run.percent) / 100
+
+
 def whole_ms(run: Run, now_ms: int) -> float | None:
     """Return how long a run will take in all at its pace; None if too little is known of it."""
     if now_ms - run.begun_ms < MIN_ELAPSED_MS:
--- a/libs/coordinator/src/hornbeamfold/coordinator/survey.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/survey.py
@@ -5,6 +5,7 @@
 from hornbeamfold.batch import Bounds, OperatorState
 from hornbeamfold.coordinator.book import Book, Run
 from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.pace import remaining_ms
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.tracked import TrackedJob
 from hornbeamfold.scheduling import Occupant, ReadyStep, Room
@@ -13,8 +14,6 @@
 CORES_PER_ACCELERATOR = 8
 # The least remaining time that is assumed; estimates are often too short.
 MIN_REMAINING_MS = 500
-# A run with less progress says too little about its pace.
-MIN_PERCENT = 10.0
 
 
 def rooms(
@@ -138,10 +137,6 @@
 def _occupant(run: Run, tracked: TrackedJob, now_ms: int) -> Occupant:
     step = tracked.job.steps[run.name.task.step]
     elapsed = now_ms - run.begun_ms
-    remaining = step.estimate_ms - elapsed
-    whole = run.whole_ms(now_ms, MIN_PERCENT)
-    if whole is not None:
-        remaining = int(whole * (100 - run.percent) / 100)
     cores = step.demand.cpu_millis / 1_000
     cores += CORES_PER_ACCELERATOR * step.demand.accelerators
     # A checkpoint keeps the work but for the restart.
@@ -154,7 +149,7 @@
         tracked.job.priority,
         # Its callers allow only so many of these tasks to be away, for whatever reason.
         step.long_running and step.max_unavailable > 0,
-        max(MIN_REMAINING_MS, remaining),
+        max(MIN_REMAINING_MS, int(remaining_ms(run, step, now_ms))),
         cores * (1_000 + lost_ms) / 1_000,
         gang,
         bool(run.stop_reason),
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -30,7 +30,7 @@
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.journal import Journal
-from hornbeamfold.coordinator.pace import late_runs
+from hornbeamfold.coordinator.pace import late_runs, leaving_runs
 from hornbeamfold.coordinator.session import (
     CLOCK_RATE,
     RENEWAL_KNOWLEDGE_MS,
@@ -306,6 +306,10 @@
                 continue
             self._end(run.name, RunEnd.LOST)
         self._move_late_runs(worker.worker_id)
+        for leaving in leaving_runs(
+            self._book, self._book.runs_on(worker.worker_id), worker, self._parts.clock()
+        ):
+            self._stop_all((leaving.name,), leaving.reason)
         self._notify()
 
     def _move_late_runs(self, worker_id: str) -> None:
--- a/libs/coordinator/tests/test_pace.py
+++ b/libs/coordinator/tests/test_pace.py
@@ -1,6 +1,7 @@
 """Tests of finding runs that stand still or are slow."""
 
 import unittest
+from dataclasses import replace
 
 from coordinator_cases import ManualClock, book_with, job, worker
 
@@ -15,7 +16,7 @@
     TaskRef,
 )
 from hornbeamfold.coordinator.book import Book
-from hornbeamfold.coordinator.pace import STALLED_MS, late_runs
+from hornbeamfold.coordinator.pace import STALLED_MS, late_runs, leaving_runs
 
 REFS = [TaskRef(0, 0, index) for index in range(3)]
 
@@ -80,5 +81,32 @@
         self.assertEqual(late_runs(book, book.runs_on("w1"), clock()), [])
 
 
+class LeavingRunsTest(unittest.TestCase):
+    def test_runs_that_cannot_end_before_their_worker_leaves(self) -> None:
+        plain = Step(1, Resources(1), 9_000)
+        saving = Step(1, Resources(1), 9_000, checkpointing=True)
+        lasting = Step(1, Resources(1), 9_000, long_running=True, checkpointing=True)
+        cases = [
+            ("stays", plain, False, 0, 20.0, 0),
+            ("ends in time", saving, True, 5_000, 50.0, 0),
+            ("saves its work", saving, True, 3_000, 50.0, 1),
+            ("may end if the worker lingers", plain, True, 3_000, 50.0, 0),
+            ("loses its work anyway", plain, True, 500, 50.0, 1),
+            ("lasting work", lasting, True, 0, 50.0, 0),
+        ]
+        for name, step, draining, remaining_ms, percent, expected in cases:
+            with self.subTest(name):
+                clock = ManualClock(0)
+                book = book_with(clock, job("a", step))
+                (run,) = book.begin("a", REFS[:1], [worker()])
+                book.settle(run.name)
+                # Half of the work in 4 s, so 4 s are left.
+                clock.move(4_000)
+                book.note_running(RunningTask(run.name, "", percent))
+                drains = replace(worker(), draining=draining, drain_remaining_ms=remaining_ms)
+                found = leaving_runs(book, book.runs_on("w1"), drains, clock())
+                self.assertEqual(len(found), expected)
+
+
 if __name__ == "__main__":
     unittest.main()
