Give a coordinator more time in a slow store, and spread the claims there

Nobody coordinated for more than a moment from 12.0 to 18.2 s.

Change: instances measure how much slower the store is than at its best. Silence has to last longer and claims are spread further by that. The announcer pauses as long as its last append took.

--- a/libs/coordinator/src/hornbeamfold/coordinator/__init__.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/__init__.py
@@ -2,6 +2,7 @@
 
 from hornbeamfold.coordinator.coordination import Coordination
 from hornbeamfold.coordinator.election import Election
+from hornbeamfold.coordinator.latency import StoreLatency
 from hornbeamfold.coordinator.term import Term, TermParts
 
-__all__ = ["Coordination", "Election", "Term", "TermParts"]
+__all__ = ["Coordination", "Election", "StoreLatency", "Term", "TermParts"]
--- a/libs/coordinator/src/hornbeamfold/coordinator/announcer.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/announcer.py
@@ -2,15 +2,19 @@
 
 from collections.abc import Callable
 
+import eventlet
 from eventlet.event import Event
 
-from hornbeamfold.batch import ENDED, JobState, KeyedRecord
+from hornbeamfold.batch import ENDED, Clock, JobState, KeyedRecord
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.ledger import encode_state
 
 # Without any state to tell a record is written this often, so that the others hear of the
 # coordinator.
 BEAT_MS = 200
+# The store takes one append to a topic after the other, so in a slow store the coordinator leaves
+# callers as much of its time as it takes.
+PAUSE_SHARE = 1.0
 
 
 class Announcer:
@@ -21,10 +25,12 @@
         writer: FencedWriter,
         beat: Callable[[], KeyedRecord],
         on_final: Callable[[str], None],
+        clock: Clock,
     ) -> None:
         self._writer = writer
         self._beat = beat
         self._on_final = on_final
+        self._clock = clock
         self._states: dict[str, JobState] = {}
         self._wake: Event = Event()
         self._last: KeyedRecord | None = None
@@ -57,14 +63,18 @@
             records = [encode_state(job_id, state) for job_id, state in states.items()]
             if last is not None:
                 records.append(last)
+            began = self._clock()
             if not self._writer.write(records or [self._beat()]):
                 return
+            took_ms = self._clock() - began
             for job_id, state in states.items():
                 if state in ENDED:
                     self._on_final(job_id)
             if last is not None:
                 self._closed.send(True)
                 return
+            if self._last is None:
+                eventlet.sleep(PAUSE_SHARE * took_ms / 1_000)
 
     def close_with(self, record: KeyedRecord, timeout_ms: int) -> bool:
         """Write what is left and then one last record; return whether it was stored in time."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/election.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/election.py
@@ -9,6 +9,7 @@
 from hornbeamfold.batch import Clock, Fence, Fenced, Stored, TopicPort
 from hornbeamfold.coordinator.announcer import BEAT_MS
 from hornbeamfold.coordinator.fenced_writer import PRODUCER
+from hornbeamfold.coordinator.latency import StoreLatency
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
 from hornbeamfold.telemetry import counter, get_logger
 
@@ -29,6 +30,13 @@
 FAST_CORES = 1.0
 SLOW_DELAY_MS = 400
 CLAIM_TIMEOUT_MS = 1_200
+# For each millisecond that the store is slower than at its best, silence has to last so much
+# longer: a beat takes an append and the pause after it, and its reader may be two reads behind.
+SLOW_STORE_FACTOR = 4
+# In a slow store claims are spread over a longer time. It refuses appends when too many wait.
+JITTER_GROWTH_MS = 50
+# A time of the store that is older is measured again before a claim.
+MAX_SAMPLE_AGE_MS = 400
 # A claim that the store took is read back well within this time.
 CLAIM_PAUSE_MS = 700
 # Two claims of one epoch with the same sequence number would look like one that is repeated.
@@ -45,7 +53,7 @@
         replica: Replica,
         clock: Clock,
         may_claim: Callable[[], bool],
-        round_trip_ms: Callable[[], float],
+        latency: StoreLatency,
         cores: float = FAST_CORES,
         read_soon: Callable[[], None] = lambda: None,
     ) -> None:
@@ -54,7 +62,7 @@
         self._replica = replica
         self._clock = clock
         self._may_claim = may_claim
-        self._round_trip_ms = round_trip_ms
+        self._latency = latency
         self._cores = cores
         self._read_soon = read_soon
         self._random = Random(incarnation)
@@ -73,7 +81,7 @@
     @property
     def favoured(self) -> bool:
         """Whether this instance is near the store and fast, and so claims before others."""
-        return self._round_trip_ms() <= NEAR_ROUND_TRIP_MS and self._cores >= FAST_CORES
+        return self._latency.least_ms <= NEAR_ROUND_TRIP_MS and self._cores >= FAST_CORES
 
     def on_read(self, confirmed_ms: int | None) -> None:
         """Count the time in which the log was read and the coordinator wrote nothing.
@@ -110,16 +118,26 @@
         if self._claimed_ms is not None and now - self._claimed_ms < CLAIM_PAUSE_MS:
             return
         present = self._replica.coordinator
-        wait_ms = self._jitter_ms
-        if self._round_trip_ms() > NEAR_ROUND_TRIP_MS:
+        if self._silence_ms < self._wait_ms(present) or not self._may_claim():
+            return
+        if self._latency.age_ms > MAX_SAMPLE_AGE_MS:
+            # Others may have read the store for this instance.
+            self._latency.sample()
+            if self._silence_ms < self._wait_ms(present):
+                return
+        self._claim(present.epoch if present is not None else 0, now)
+
+    def _wait_ms(self, present: CoordinatorRecord | None) -> float:
+        """Return after how much silence this instance claims."""
+        slower_ms = self._latency.slower_ms
+        wait_ms = self._jitter_ms * (1 + slower_ms / JITTER_GROWTH_MS)
+        if self._latency.least_ms > NEAR_ROUND_TRIP_MS:
             wait_ms += FAR_DELAY_MS
         if self._cores < FAST_CORES:
             wait_ms += SLOW_DELAY_MS
         if present is not None and not present.resigned:
-            wait_ms += SILENCE_MS
-        if self._silence_ms < wait_ms or not self._may_claim():
-            return
-        self._claim(present.epoch if present is not None else 0, now)
+            wait_ms += SILENCE_MS + SLOW_STORE_FACTOR * slower_ms
+        return wait_ms
 
     def _claim(self, known_epoch: int, now: int) -> None:
         epoch = max(known_epoch, self._claimed_epoch) + 1
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -104,6 +104,7 @@
             FencedWriter("jobs", parts.topic, epoch, sequence, self.depose, parts.clock),
             lambda: encode_coordinator(self._record),
             self._journal.remove,
+            parts.clock,
         )
         self._hooks = SessionHooks(
             is_active=lambda: self._active,
