--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -1,41 +1,32 @@
-"""One worker's session: keeps its lease, takes note of ends, and sends it orders."""
+"""One worker's session: keeps its lease and takes note of ends."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import eventlet
 from eventlet.event import Event
-from eventlet.semaphore import Semaphore
 
 from hornbeamfold.batch import (
-    Accepted,
     Bounds,
     Clock,
     EndedTask,
     LeaseRenewal,
     LeaseReport,
     NoAnswer,
-    OrderOutcome,
     Refusal,
     Refused,
-    RunName,
-    StartOrder,
-    StopOrder,
     Worker,
     WorkerPort,
 )
-from hornbeamfold.coordinator.book import Run
-from hornbeamfold.telemetry import counter, get_logger, histogram, logged
+from hornbeamfold.coordinator.orders import RETRY_MS, OrderHooks, Orders, WorkerLink
+from hornbeamfold.telemetry import get_logger
 
 logger = get_logger("hornbeamfold.coordinator.session")
-_starts = counter("hornbeamfold_start_orders", "Start orders by outcome.")
-_start_ms = histogram("hornbeamfold_start_order", "ms", "Time until a start order is answered.")
 
 # A renewal waits so long at the worker for an end: the worker's bound for it, and less while runs
 # are there whose progress has to be watched.
 RENEW_WAIT_MS = 2_000
 WATCH_WAIT_MS = 800
-RETRY_MS = 250
 # Without an answer to a renewal for so long the worker gets no new tasks.
 REACHABLE_MS = 3_500
 # A recorded end is acknowledged at once; an unrecorded one delays the next renewal at most so long.
@@ -46,16 +37,9 @@
 # Work on a worker that is lost begins again after its lease; with this and the time above, work
 # goes on for 12 s without the store.
 MAX_LEASE_MS = 6_000
-# Orders that one worker gets at the same time, each on a connection of its own.
-PARALLEL_ORDERS = 6
-# One order in twenty may be lost or late at a worker; two in a row say that it is away.
-START_TRIES = 2
 # A worker's clock may be 2% slow; with a margin for the way of the order.
 CLOCK_RATE = 0.97
 CLOCK_MARGIN_MS = 300
-# An order is valid for so long after the read that it rests on, less than the least of the bounds
-# on zones, draining workers and cancelled jobs.
-VALIDITY_MARGIN_MS = 700
 
 
 def lease_ms(bounds: Bounds) -> int:
@@ -67,21 +51,15 @@
 class SessionHooks:
     """What a session tells its coordinator."""
 
-    is_active: Callable[[], bool]
-    knowledge_ms: Callable[[], int | None]  # when all that starts rest on was last confirmed
+    orders: OrderHooks
     on_report: Callable[["Session", LeaseReport, int], None]
     on_ended: Callable[["Session", tuple[EndedTask, ...]], None]
-    on_settled: Callable[[RunName], None]
-    on_not_started: Callable[[Run, Refusal], None]
     on_gone: Callable[["Session", str], None]  # all runs there are certainly over
-    on_fenced: Callable[[str], None]
-    is_listed: Callable[[RunName], bool]  # whether the run still takes room in the book
-    may_start: Callable[[Run, Worker], bool]  # whether a start is still right when it is sent
     after_store: Callable[[Callable[[], None]], None]
 
 
 class Session:
-    """Renews the lease of one worker in one green thread; orders have threads of their own."""
+    """Renews the lease of one worker in one green thread."""
 
     def __init__(
         self,
@@ -108,7 +86,10 @@
         self._foreign = 0
         self._closed = False
         self._registered = True
-        self._orders = Semaphore(PARALLEL_ORDERS)
+        link = WorkerLink(
+            lambda: self._worker, self._worker_clock, lambda: not self._closed, self._report_now
+        )
+        self._orders = Orders(link, token, port, hooks.orders, bounds, clock)
         self._lost = False
         self._watched = False
 
@@ -117,6 +98,11 @@
         """The worker as it last described itself."""
         return self._worker
 
+    @property
+    def orders(self) -> Orders:
+        """The orders to the worker."""
+        return self._orders
+
     @property
     def registered(self) -> bool:
         """Whether the worker is in the platform's list."""
@@ -174,7 +160,7 @@
 
     def run(self) -> None:
         """Renew the lease until the session is closed or the coordinator is replaced."""
-        while self._hooks.is_active() and not self._closed:
+        while self._hooks.orders.is_active() and not self._closed:
             sent_ms = self._clock()
             # The first renewal must not wait: nothing may start before the worker's runs are known.
             first = self._reported_ms is None
@@ -186,13 +172,13 @@
             )
             self._note_lease(renewal, sent_ms)
             outcome = self._port.renew(self._worker, renewal)
-            if self._closed or not self._hooks.is_active():
+            if self._closed or not self._hooks.orders.is_active():
                 return
             match outcome:
                 case LeaseReport():
                     self._take(outcome, sent_ms)
                 case Refused(Refusal.FENCED):
-                    self._hooks.on_fenced(f"worker {self._worker.worker_id}")
+                    self._hooks.orders.on_fenced(f"worker {self._worker.worker_id}")
                     return
                 case Refused(Refusal.GONE):
                     self._hooks.on_gone(self, "another incarnation answers")
@@ -230,7 +216,7 @@
         this coordinator may have been replaced.
         """
         clock = self._worker_clock(now_ms)
-        knowledge = self._hooks.knowledge_ms()
+        knowledge = self._hooks.orders.knowledge_ms()
         if clock is None or self._lost or knowledge is None:
             return None
         if now_ms - knowledge > RENEWAL_KNOWLEDGE_MS:
@@ -279,79 +265,6 @@
         self._hooks.after_store(acknowledge)
         stored.wait(timeout=RECORD_WAIT_MS / 1_000)
 
-    def start(self, run: Run, payload: str) -> None:
-        """Send a start order in a thread of its own."""
-        self._spawn(lambda: self._start(run, payload))
-
-    def _spawn(self, order: Callable[[], None]) -> None:
-        """Send an order in a thread of its own, a few at a time; never blocks the caller."""
-
-        def limited() -> None:
-            with self._orders:
-                order()
-
-        eventlet.spawn_n(logged(limited))
-
-    def _start(self, run: Run, payload: str) -> None:
-        knowledge = self._hooks.knowledge_ms()
-        validity = min(self._bounds.drain_ms, self._bounds.cancel_ms, self._bounds.zone_out_ms)
-        now = self._clock()
-        until = None if knowledge is None else knowledge + validity - VALIDITY_MARGIN_MS
-        clock = self._worker_clock(now)
-        if until is None or until <= now or clock is None or not self._hooks.is_active():
-            self._hooks.on_not_started(run, Refusal.TOO_LATE)
-            return
-        # The run was planned before it was recorded and waited for its turn here.
-        if not self._hooks.may_start(run, self._worker):
-            self._hooks.on_not_started(run, Refusal.TOO_LATE)
-            return
-        order = StartOrder(run.name, payload, self._token, clock + (until - now), run.checkpoint)
-        outcome, tries = self._send_start(run, order, until)
-        took_ms = self._clock() - now
-        _start_ms(took_ms)
-        answer = outcome.reason.value if isinstance(outcome, Refused) else type(outcome).__name__
-        _starts(1, outcome=answer)
-        logger.info(
-            "start_sent",
-            extra={
-                "request": run.name.job_id,
-                "task": list(run.name.task),
-                "run": run.name.run,
-                "worker": run.worker_id,
-                "token": self._token,
-                "knowledge_age_ms": now - knowledge if knowledge is not None else None,
-                "outcome": answer,
-                "tries": tries,
-                "took_ms": took_ms,
-            },
-        )
-        match outcome:
-            case Accepted():
-                self._hooks.on_settled(run.name)
-            case Refused(Refusal.FENCED):
-                self._hooks.on_fenced(f"worker {run.worker_id}")
-            case Refused(reason, _) if tries == 1:
-                self._hooks.on_not_started(run, reason)
-            case _:
-                # An order without an answer may still be on its way. A stop of the same run keeps
-                # it from starting.
-                self._stop(run, "start order unanswered")
-                self._report_now()
-
-    def _send_start(self, run: Run, order: StartOrder, until_ms: int) -> tuple[OrderOutcome, int]:
-        """Send an order, again if there is no answer; return the last outcome and the tries.
-
-        A worker that has the run already accepts its order again.
-        """
-        tries = 1
-        outcome = self._port.start(self._worker, order)
-        while isinstance(outcome, NoAnswer) and tries < START_TRIES:
-            if self._clock() >= until_ms or not self._hooks.may_start(run, self._worker):
-                break
-            tries += 1
-            outcome = self._port.start(self._worker, order)
-        return outcome, tries
-
     def _report_now(self) -> None:
         """Ask for a report beside the renewal that waits, and leave the lease as it is."""
         sent_ms = self._clock()
@@ -359,44 +272,3 @@
         report = self._port.renew(self._worker, renewal)
         if isinstance(report, LeaseReport) and report.born_ms == self._worker.born_ms:
             self._hooks.on_report(self, report, sent_ms)
-
-    def stop(self, run: Run) -> None:
-        """Send a stop order in a thread of its own, until it is answered."""
-        self._spawn(lambda: self._stop(run, run.stop_reason))
-
-    def _stop(self, run: Run, reason: str) -> None:
-        tries = 0
-        while self._hooks.is_active() and not self._closed and self._hooks.is_listed(run.name):
-            outcome = self._port.stop(self._worker, StopOrder(run.name, self._token))
-            tries += 1
-            match outcome:
-                case Accepted():
-                    logger.info(
-                        "stop_sent",
-                        extra={
-                            "request": run.name.job_id,
-                            "task": list(run.name.task),
-                            "run": run.name.run,
-                            "worker": run.worker_id,
-                            "reason": reason,
-                            "tries": tries,
-                        },
-                    )
-                    self._hooks.on_settled(run.name)
-                    return
-                case Refused(Refusal.FENCED):
-                    self._hooks.on_fenced(f"worker {run.worker_id}")
-                    return
-                case Refused(Refusal.GONE):
-                    return
-                case Refused() | NoAnswer():
-                    eventlet.sleep(RETRY_MS / 1_000)
-
-    def stop_unknown(self, name: RunName) -> None:
-        """Stop a run that the worker lists and the book does not know."""
-        self._spawn(lambda: self._stop_once(name))
-
-    def _stop_once(self, name: RunName) -> None:
-        outcome = self._port.stop(self._worker, StopOrder(name, self._token))
-        if outcome == Refused(Refusal.FENCED):
-            self._hooks.on_fenced(f"worker {self._worker.worker_id}")
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -30,6 +30,7 @@
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.journal import Journal
+from hornbeamfold.coordinator.orders import OrderHooks
 from hornbeamfold.coordinator.pace import late_runs, leaving_runs
 from hornbeamfold.coordinator.session import (
     CLOCK_RATE,
@@ -106,17 +107,20 @@
             self._journal.remove,
             parts.clock,
         )
-        self._hooks = SessionHooks(
+        orders = OrderHooks(
             is_active=lambda: self._active,
             knowledge_ms=parts.knowledge_ms,
-            on_report=self._on_report,
-            on_ended=self._on_ended,
             on_settled=self._book.settle,
             on_not_started=self._on_not_started,
-            on_gone=self._on_gone,
             on_fenced=self.depose,
             is_listed=lambda name: name in self._book.runs,
             may_start=self._may_start,
+        )
+        self._hooks = SessionHooks(
+            orders=orders,
+            on_report=self._on_report,
+            on_ended=self._on_ended,
+            on_gone=self._on_gone,
             after_store=self._journal.after_store,
         )
 
@@ -294,7 +298,7 @@
             run = self._book.runs.get(task.name)
             if run is None or run.worker_id != worker.worker_id:
                 unknown += 1
-                session.stop_unknown(task.name)
+                session.orders.stop_unknown(task.name)
                 continue
             self._book.settle(task.name)
             self._book.note_running(task)
@@ -303,7 +307,7 @@
         for run in self._book.runs_on(worker.worker_id):
             if run.name in listed or run.settled_ms is None or run.settled_ms >= sent_ms:
                 if run.stop_reason and run.name in listed:
-                    session.stop(run)
+                    session.orders.stop(run)
                 continue
             self._end(run.name, RunEnd.LOST)
         self._move_late_runs(worker.worker_id)
@@ -369,7 +373,7 @@
                 continue
             session = self._sessions.get(run.worker_id)
             if session is not None:
-                session.stop(run)
+                session.orders.stop(run)
 
     def _plan_once(self) -> None:
         began = self._parts.clock()
@@ -455,4 +459,4 @@
             if tracked is None or session is None:
                 self._end(run.name, RunEnd.LOST)
                 continue
-            session.start(current, tracked.job.payload)
+            session.orders.start(current, tracked.job.payload)
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -16,6 +16,7 @@
     WorkerPort,
 )
 from hornbeamfold.coordinator.book import Book
+from hornbeamfold.coordinator.orders import OrderHooks
 from hornbeamfold.coordinator.session import Session, SessionHooks
 
 CAPACITY = Resources(64_000, 256_000, 8)
@@ -114,16 +115,18 @@
 def hooks(calls: Calls, clock: ManualClock) -> SessionHooks:
     """Return hooks that note every call; what is stored is stored at once."""
     return SessionHooks(
-        is_active=lambda: calls.active,
-        knowledge_ms=lambda: clock() - calls.knowledge_age_ms,
+        orders=OrderHooks(
+            is_active=lambda: calls.active,
+            knowledge_ms=lambda: clock() - calls.knowledge_age_ms,
+            on_settled=lambda name: calls.note("settled", name),
+            on_not_started=lambda run, reason: calls.note("not started", reason),
+            on_fenced=lambda reason: (calls.note("fenced", reason), calls.end())[0],
+            is_listed=lambda name: True,
+            may_start=lambda run, worker: not calls.named("drains"),
+        ),
         on_report=lambda session, report, sent_ms: calls.note("report", report),
         on_ended=lambda session, ended: calls.note("ended", ended),
-        on_settled=lambda name: calls.note("settled", name),
-        on_not_started=lambda run, reason: calls.note("not started", reason),
         on_gone=lambda session, reason: calls.note("gone", reason),
-        on_fenced=lambda reason: (calls.note("fenced", reason), calls.end())[0],
-        is_listed=lambda name: True,
-        may_start=lambda run, worker: not calls.named("drains"),
         after_store=lambda callback: callback(),
     )
 
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -186,7 +186,7 @@
         if reports:
             started.run()
         self.calls.begin()
-        started._start(self.run_, "{}")
+        started.orders.send_start(self.run_, "{}")
 
     def test_an_order_is_valid_for_less_than_the_least_bound(self) -> None:
         orders: list[StartOrder] = []
