--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -19,7 +19,6 @@
     Refusal,
     RunEnd,
     RunName,
-    TaskRef,
     TopicPort,
     Worker,
     WorkerPort,
@@ -39,9 +38,10 @@
     SessionHooks,
     lease_ms,
 )
+from hornbeamfold.coordinator.starts import StartParts, Starts
 from hornbeamfold.coordinator.survey import occupants, ready_steps, rooms
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator, load_progress
-from hornbeamfold.scheduling import Assignment, Plan, plan
+from hornbeamfold.scheduling import Plan, plan
 from hornbeamfold.telemetry import get_logger, histogram, logged
 
 logger = get_logger("hornbeamfold.coordinator.term")
@@ -107,6 +107,18 @@
             self._journal.remove,
             parts.clock,
         )
+        self._starts = Starts(
+            StartParts(
+                self._book,
+                self._sessions,
+                parts.operator,
+                parts.registry,
+                self._journal.after_store,
+                lambda: self._active,
+                self._end,
+                parts.clock,
+            )
+        )
         orders = OrderHooks(
             is_active=lambda: self._active,
             knowledge_ms=parts.knowledge_ms,
@@ -114,7 +126,7 @@
             on_not_started=self._on_not_started,
             on_fenced=self.depose,
             is_listed=lambda name: name in self._book.runs,
-            may_start=self._may_start,
+            may_start=self._starts.may_start,
         )
         self._hooks = SessionHooks(
             orders=orders,
@@ -402,61 +414,4 @@
                 },
             )
         self._stop_all([each.name for each in made.preemptions], "preempted")
-        groups: dict[tuple[str, int, int], list[Assignment]] = {}
-        for assignment in made.assignments:
-            key = (assignment.job_id, assignment.task.occurrence, assignment.task.step)
-            groups.setdefault(key, []).append(assignment)
-        begun: list[Run] = []
-        for (job_id, _, _), group in groups.items():
-            begun.extend(self._begin(job_id, group))
-        if begun:
-            self._journal.after_store(lambda: self._send(begun))
-
-    def _begin(self, job_id: str, group: Sequence[Assignment]) -> list[Run]:
-        tracked = self._book.jobs[job_id]
-        step = tracked.job.steps[group[0].task.step]
-        workers = {each.worker_id: self._sessions[each.worker_id].worker for each in group}
-        logger.info(
-            "placed",
-            extra={
-                "request": job_id,
-                "step": group[0].task.step,
-                "tasks": [each.task.index for each in group],
-                "workers": [each.worker_id for each in group],
-                "reason": group[0].reason,
-                "priority": tracked.job.priority,
-                "waited_ms": self._parts.clock()
-                - tracked.ready_since(group[0].task.occurrence, group[0].task.step, 0),
-            },
-        )
-        if step.gang:
-            refs: list[TaskRef] = [each.task for each in group]
-            return self._book.begin(job_id, refs, [workers[each.worker_id] for each in group])
-        runs: list[Run] = []
-        for each in group:
-            runs.extend(self._book.begin(job_id, [each.task], [workers[each.worker_id]]))
-        return runs
-
-    def _may_start(self, run: Run, worker: Worker) -> bool:
-        """Tell whether a recorded run may still start, by what is known now."""
-        current = self._book.runs.get(run.name)
-        if current is None or current.stop_reason or run.name.job_id not in self._book.jobs:
-            return False
-        if worker.draining or worker.worker_id not in self._parts.registry():
-            return False
-        return worker.availability_zone not in self._parts.operator().zones_out
-
-    def _send(self, runs: Sequence[Run]) -> None:
-        """Send the start orders of runs that are now in the store."""
-        if not self._active:
-            return
-        for run in runs:
-            tracked = self._book.jobs.get(run.name.job_id)
-            session = self._sessions.get(run.worker_id)
-            current = self._book.runs.get(run.name)
-            if current is None:
-                continue
-            if tracked is None or session is None:
-                self._end(run.name, RunEnd.LOST)
-                continue
-            session.orders.start(current, tracked.job.payload)
+        self._starts.begin(made.assignments)
