--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SECONDS ?= 60
 LIB ?=
 
-.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults measure slopes soak
+.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
@@ -69,5 +69,9 @@
 slopes: setup  ## Measure the cost slopes of docs/CAPACITY.md: make slopes [WRITE=1]
 	$(PY) -m hornbeamfold.bench.slopes $(if $(WRITE),--write)
 
-soak: setup  ## Long random run: make soak SECONDS=300 [SEED=n]
-	$(PY) -m hornbeamfold.bench.soak --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+random-faults: setup  ## Random rows of the fault matrix: make random-faults SECONDS=300 [SEED=n]
+	$(PY) -m hornbeamfold.bench.random_faults --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
+
+soak: setup  ## Fault soak on the emulated platform: make soak SECONDS=60 [SEED=n] [INSTANCES=n] [WORKERS=n]
+	$(PY) -m hornbeamfold.soak --seconds $(SECONDS) --logs target/soak $(if $(SEED),--seed $(SEED)) \
+	  $(if $(INSTANCES),--instances $(INSTANCES)) $(if $(WORKERS),--workers $(WORKERS))
--- a/libs/bench/src/hornbeamfold/bench/__init__.py
+++ b/libs/bench/src/hornbeamfold/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Demo, fault matrix, measurements, slopes and soak."""
+"""Demo, fault matrix, measurements, slopes and random faults."""
--- a/libs/bench/src/hornbeamfold/bench/soak.py
+++ b/libs/bench/src/hornbeamfold/bench/random_faults.py
@@ -1,4 +1,4 @@
-"""Random faults and random work on one fleet: python -m hornbeamfold.bench.soak --seconds n."""
+"""Random rows of the fault matrix: python -m hornbeamfold.bench.random_faults --seconds n."""
 
 import asyncio
 import sys
@@ -71,7 +71,7 @@
         number = sum(tried.values())
         tried[fault.name] += 1
         before = {name: len(found) for name, found in evidence.problems.items()}
-        scene = Scene(fleet, fault, evidence, f"soak{number}", rng.choice(list(fleet.daemons)))
+        scene = Scene(fleet, fault, evidence, f"random{number}", rng.choice(list(fleet.daemons)))
         watching = asyncio.create_task(watch(scene))
         try:
             await scene.restore()
@@ -89,7 +89,7 @@
 
 
 def main() -> int:
-    """Run the soak and print what was tried and violated."""
+    """Meet random faults and print what was tried and violated."""
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=int(time.time()) % 100_000)
