--- a/libs/standins/tests/test_task_table.py
+++ b/libs/standins/tests/test_task_table.py
@@ -51,7 +51,7 @@
         self.assertEqual(self.state("a"), "finished")
 
     def test_an_order_that_was_held_up_is_refused(self) -> None:
-        """Guards against a start long after the view that it rests on, as seed 23 of random-faults."""
+        """Guards against a start long after the view that it rests on (random faults, seed 23)."""
         self.now_ms = 1_001
         self.assertEqual(self.sync(start("a", start_by_ms=1_000))["a"].state, "refused")
         self.assertEqual(self.sync(start("b", start_by_ms=1_001))["b"].state, "running")
