--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -7,15 +7,12 @@
 from eventlet.event import Event
 
 from hornbeamfold.batch import (
-    ENDED,
     Bounds,
     Clock,
     EndedTask,
-    JobProgress,
     JobState,
     LeaseReport,
     OperatorState,
-    ReadFailed,
     Refusal,
     RunEnd,
     RunName,
@@ -28,6 +25,7 @@
 from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.job_intake import IntakeHooks, JobIntake
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.orders import OrderHooks
 from hornbeamfold.coordinator.pace import late_runs, leaving_runs
@@ -40,7 +38,7 @@
 )
 from hornbeamfold.coordinator.starts import StartParts, Starts
 from hornbeamfold.coordinator.survey import occupants, ready_steps, rooms
-from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator, load_progress
+from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
 from hornbeamfold.scheduling import Plan, plan
 from hornbeamfold.telemetry import get_logger, histogram, logged
 
@@ -51,7 +49,6 @@
 MIN_PASS_GAP_MS = 15
 # Without any event a pass looks for tasks whose time has come.
 MAX_PASS_GAP_MS = 200
-LOAD_RETRY_MS = 100
 # An earlier coordinator extends no lease this long after it was replaced. The margin is for the
 # time that a renewal takes.
 EARLIER_RENEWALS_MS = RENEWAL_KNOWLEDGE_MS + 1_000
@@ -95,8 +92,6 @@
         self._wake: Event = Event()
         self._orphans_until_ms = 0
         self._began_ms = parts.clock()
-        # The coordinator before may have known jobs that are not in the replica yet.
-        self._recorded: dict[str, JobProgress] = {}
         self._progress_writer = FencedWriter(
             "progress", parts.progress_topic, epoch, sequence, self.depose, parts.clock
         )
@@ -107,6 +102,17 @@
             self._journal.remove,
             parts.clock,
         )
+        self._intake = JobIntake(
+            parts.replica,
+            self._book,
+            IntakeHooks(
+                is_active=lambda: self._active,
+                on_told_end=self._journal.remove,
+                on_state=self._announcer.announce,
+                on_cancelled=self._on_cancelled,
+                on_taken=self._notify,
+            ),
+        )
         self._starts = Starts(
             StartParts(
                 self._book,
@@ -158,7 +164,7 @@
         self._active = False
         self._journal.stop()
         self._announcer.stop()
-        self._parts.replica.remove_listener(self._on_job)
+        self._intake.stop()
         self._notify()
         logger.warning("term_ended", extra={"epoch": self._epoch, "reason": reason})
 
@@ -173,15 +179,11 @@
     def run(self) -> None:
         """Load the book, open the sessions, and plan until the term ends."""
         eventlet.spawn_n(logged(self._announcer.run))
-        replica = self._parts.replica
         # From here on the progress topic refuses the coordinator before.
         if not self._progress_writer.write([encode_coordinator(self._record)]):
             return
-        if not self._load_progress():
+        if not self._intake.begin(self._parts.progress_topic):
             return
-        replica.add_listener(self._on_job)
-        for job_id in tuple(replica.job_ids):
-            self._on_job(job_id)
         longest_lease_ms = int(lease_ms(self._parts.bounds) / CLOCK_RATE)
         self._orphans_until_ms = self._began_ms + EARLIER_RENEWALS_MS + longest_lease_ms
         logger.info(
@@ -200,17 +202,6 @@
             if self._planning:
                 self.depose("planning ended")
 
-    def _load_progress(self) -> bool:
-        """Load what the coordinators before have recorded; return whether the term goes on."""
-        while self._active:
-            loaded = load_progress(self._parts.progress_topic)
-            if not isinstance(loaded, ReadFailed):
-                self._recorded = loaded
-                return True
-            logger.warning("progress_unreadable", extra={"reason": loaded.reason})
-            eventlet.sleep(LOAD_RETRY_MS / 1_000)
-        return False
-
     def _announce(self, job_id: str, state: JobState) -> None:
         """Tell the state of a job that is recorded, unless all instances know it already."""
         if self._parts.replica.recorded_state(job_id) is not state:
@@ -229,28 +220,9 @@
         if not self._wake.ready():
             self._wake.send(None)
 
-    def _on_job(self, job_id: str) -> None:
-        """Take a job that was added or cancelled from the replica into the book."""
-        replica = self._parts.replica
-        job = replica.job(job_id)
-        if job is None:
-            return
-        if job_id not in self._book.jobs:
-            if replica.recorded_state(job_id) in ENDED:
-                if self._recorded.pop(job_id, None) is not None:
-                    self._journal.remove(job_id)
-                return
-            progress = self._recorded.pop(job_id, JobProgress())
-            if progress.state in ENDED:
-                # The coordinator before recorded the end and did not get to tell it.
-                self._announcer.announce(job_id, progress.state)
-                return
-            self._book.add(job, progress)
-        if replica.is_cancelled(job_id):
-            logger.info("job_cancelled", extra={"request": job_id})
-            self._stop_all(self._book.cancel(job_id), "cancelled")
-            self._journal.notify()
-        self._notify()
+    def _on_cancelled(self, names: Sequence[RunName]) -> None:
+        self._stop_all(names, "cancelled")
+        self._journal.notify()
 
     def _registry_is_read(self) -> bool:
         """Tell whether the list of workers is of this term; an earlier one may be outdated."""
