--- a/libs/soak/src/hornbeamfold/soak/faults.py
+++ b/libs/soak/src/hornbeamfold/soak/faults.py
@@ -17,6 +17,8 @@
 # The store's answers in a slow spell; 60 times the usual 4 ms and more.
 SLOW_STORE_MS = 250
 LATE_MS = 3_000
+# Before its first line runs, no program in this language can say what a signal does.
+INTERPRETER_START_MS = 150
 
 
 @dataclass(frozen=True)
@@ -115,9 +117,12 @@
     return _nothing
 
 
-def hang_up(scene: Scene, rng: Random) -> Undo:
+def hang_up(scene: Scene, rng: Random) -> Undo | None:
     """Send SIGHUP, as after a change of the settings file."""
-    rng.choice(scene.nodes).send(signal.SIGHUP)
+    node = rng.choice(scene.nodes)
+    if node.age_ms < INTERPRETER_START_MS:
+        return None
+    node.send(signal.SIGHUP)
     return _nothing
 
 
--- a/libs/soak/src/hornbeamfold/soak/scene.py
+++ b/libs/soak/src/hornbeamfold/soak/scene.py
@@ -66,6 +66,7 @@
         )
         self._process = start_instance(self._settings)
         self._caller_link = Link(f"callers to {self._name}", lambda: self._process.caller_address)
+        self._started_ms = elapsed_ms()
         self._stopping_ms: int | None = None
         self._disturbed_ms = 0
         self._busy = False
@@ -100,6 +101,11 @@
         """When the instance was last disturbed by something that was not planned."""
         return self._disturbed_ms
 
+    @property
+    def age_ms(self) -> int:
+        """How long ago the present process was started."""
+        return elapsed_ms() - self._started_ms
+
     @property
     def busy(self) -> bool:
         """Whether a fault of the process is under way, so that no second one begins."""
@@ -122,6 +128,7 @@
         """Start the instance again after its process has ended."""
         self._process.process.wait()
         self._process = start_instance(self._settings)
+        self._started_ms = elapsed_ms()
         self._stopping_ms = None
 
     def stop_planned(self) -> int | None:
--- a/libs/soak/tests/test_soak.py
+++ b/libs/soak/tests/test_soak.py
@@ -10,6 +10,8 @@
     (1, 15, 4),  # the coordinator killed and paused, the store away, a worker that crashes
     # Second runs after an instance coordinated again with an old list of workers (7 in 40 s).
     (22, 40, 6),
+    # SIGHUP while an instance started ended its process.
+    (114, 22, 4),
 )
 # Start, faults, the last calls and the bound on the end of what was accepted.
 TIMEOUT_S = 180
