--- a/libs/soak/src/hornbeamfold/soak/load.py
+++ b/libs/soak/src/hornbeamfold/soak/load.py
@@ -9,6 +9,7 @@
 
 from hornbeamfold.batch import Resources, Step, elapsed_ms, unix_ms
 from hornbeamfold.emulator.callers import batch_document, call
+from hornbeamfold.emulator.platform import QUEUES
 from hornbeamfold.platform.http import HttpClient
 from hornbeamfold.soak.records import Answer, SentJob, SentStep
 from hornbeamfold.soak.scene import CONTACT_WINDOW_MS, SPARE_KEY, Node, Scene
@@ -20,7 +21,7 @@
 PAUSE_S = (0.2, 0.9)
 ASK_PAUSE_S = 0.4
 STATES_AT_ONCE = 12
-ATTEMPTS = {"urgent": 4, "patient": 2}
+ATTEMPTS = {str(queue["name"]): int(queue["max_attempts"]) for queue in QUEUES}
 CANCEL_SHARE = 0.12
 CANCEL_AFTER_S = (0.1, 4.0)
 SCHEDULED_SHARE = 0.1
