--- a/libs/soak/src/hornbeamfold/soak/records.py
+++ b/libs/soak/src/hornbeamfold/soak/records.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from hornbeamfold.batch import Clock, Resources, RunEnd, RunName, StartOrder, TaskRef, Worker
+from hornbeamfold.batch import Clock, Resources, RunName, StartOrder, TaskRef, Worker
 
 
 class TaskKey(NamedTuple):
@@ -100,11 +100,3 @@
 def live_run(worker: Worker, order: StartOrder, now_ms: int) -> LiveRun:
     """Return the run that a start order began."""
     return LiveRun(order.name, worker.worker_id, worker.born_ms, now_ms)
-
-
-@dataclass(frozen=True)
-class RecordedEnd:
-    """An end that the coordinator has acknowledged to the worker."""
-
-    name: RunName
-    end: RunEnd
