--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -37,7 +37,6 @@
 
     name: RunName
     worker_id: str
-    born_ms: int
     reserved: Resources
     begun_ms: int
     settled_ms: int | None = None
@@ -115,7 +114,6 @@
                 Run(
                     name,
                     task.worker_id,
-                    task.born_ms,
                     job.steps[ref.step].reserved,
                     now,
                     settled_ms=now,
@@ -167,7 +165,6 @@
             run = Run(
                 RunName(job_id, ref, number),
                 worker.worker_id,
-                worker.born_ms,
                 tracked.job.steps[ref.step].reserved,
                 now,
                 moved_ms=now,
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -93,6 +93,7 @@
         self._orders = Orders(link, token, port, hooks.orders, bounds, clock)
         self._disconnected = False
         self._has_running_tasks = False
+        self._incarnation_known_ms = clock()
 
     @property
     def worker(self) -> Worker:
@@ -156,8 +157,14 @@
             "worker_reborn",
             extra={"worker": worker.worker_id, "born": worker.born_ms, "was": self._worker.born_ms},
         )
-        self._hooks.on_runs_lost(self, "reborn")
+        now = self._clock()
         self._worker = worker
+        self._incarnation_known_ms = now
+        # A start order that was on its way to the previous incarnation may start its run on this
+        # one. So no run is lost before this incarnation reports, or before the lease of such a run
+        # would have expired.
+        longest_lease_ms = int(self._bounds.lease_max_ms / MIN_CLOCK_RATE) + CLOCK_MARGIN_MS
+        self._lease_until_ms = max(self._lease_until_ms, now + longest_lease_ms)
         self._acknowledged_end = 0
         self._worker_clock_read_ms = None
         self._reported_ms = None
@@ -172,9 +179,10 @@
             wait_ms = BUSY_RENEWAL_WAIT_MS if self._has_running_tasks else IDLE_RENEWAL_WAIT_MS
             if first or self._disconnected:
                 wait_ms = 0
-            renewal = LeaseRenewal(
-                self._token, self._acknowledged_end, wait_ms, self._lease_expiry(sent_ms)
-            )
+            # After a failed renewal another incarnation may answer, which numbers its ends anew. It
+            # must not drop any of them as acknowledged.
+            acknowledged = 0 if self._disconnected else self._acknowledged_end
+            renewal = LeaseRenewal(self._token, acknowledged, wait_ms, self._lease_expiry(sent_ms))
             self._extend_lease_deadline(renewal, sent_ms)
             outcome = self._port.renew(self._worker, renewal)
             if self._closed or not self._hooks.orders.is_active():
@@ -237,10 +245,14 @@
 
     def _on_report(self, report: LeaseReport, sent_ms: int) -> None:
         now = self._clock()
+        is_other_incarnation = bool(report.born_ms) and report.born_ms != self._worker.born_ms
+        if is_other_incarnation and sent_ms < self._incarnation_known_ms:
+            # A late answer of the previous incarnation.
+            return
         if self._disconnected:
             self._disconnected = False
             logger.info("worker_regained", extra={"worker": self._worker.worker_id})
-        if report.born_ms and report.born_ms != self._worker.born_ms:
+        if is_other_incarnation:
             self._on_new_incarnation(replace(self._worker, born_ms=report.born_ms))
         self._worker_clock_ms = report.clock_ms
         self._worker_clock_read_ms = now
@@ -273,7 +285,7 @@
     def _request_report(self) -> None:
         """Request a report while another renewal waits, without extending the lease."""
         sent_ms = self._clock()
-        renewal = LeaseRenewal(self._token, self._acknowledged_end, 0)
+        renewal = LeaseRenewal(self._token, 0, 0)
         report = self._port.renew(self._worker, renewal)
         if isinstance(report, LeaseReport) and report.born_ms == self._worker.born_ms:
             self._hooks.on_report(self, report, sent_ms)
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -261,10 +261,6 @@
             max(self._orphan_deadline_ms, self._deps.clock()),
         )
         self._sessions[worker.worker_id] = session
-        for run in self._tracker.runs_on(worker.worker_id):
-            # The registry entry may also be of an earlier incarnation than the run.
-            if run.born_ms < worker.born_ms:
-                self._end_run(run.name, RunEnd.LOST)
         eventlet.spawn_n(log_exceptions(session.run))
 
     def _end_orphans(self) -> None:
