Make a planning pass cheap: indexed capacity, preemption costs kept, runs by job

Cause: a pass looked at every waiting step against every worker and every run, from scratch, and took 270 to 660 ms of processor time at 270 workers; heartbeats, lease renewals and orders waited for it, and others took over.

Change: free capacity is indexed by accelerators and rack, a rack without room is skipped by its total, preemption keeps the cost of each worker until a decision changes it and first looks for capacity that is already being freed, and a reservation counts tasks instead of packing after each end. The tracker keeps runs by job and reserved resources by worker; estimates of runs are kept for a second; siblings are compared once for each step and report. After a pass at least twice its duration is left to everything else.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -21,6 +21,7 @@
 from hornbeamfold.telemetry import counter, get_logger
 
 logger = get_logger("hornbeamfold.coordinator.book")
+NOTHING = Resources()
 _ends = counter("hornbeamfold_run_ends", "Ends of runs by kind.")
 
 
@@ -64,6 +65,8 @@
         self._jobs: dict[str, TrackedJob] = {}
         self._runs: dict[RunName, Run] = {}
         self._runs_by_worker: dict[str, dict[RunName, None]] = {}
+        self._runs_by_job: dict[str, dict[RunName, None]] = {}
+        self._reserved: dict[str, Resources] = {}
         self._changed: set[str] = set()
         self._final_states: dict[str, JobState] = {}
 
@@ -83,7 +86,7 @@
 
     def runs_of(self, job_id: str) -> tuple[Run, ...]:
         """Return the runs of one job."""
-        return tuple(run for name, run in self._runs.items() if name.job_id == job_id)
+        return tuple(self._runs[name] for name in self._runs_by_job.get(job_id, ()))
 
     def is_gang_member(self, name: RunName) -> bool:
         """Return whether a run belongs to a gang-scheduled step."""
@@ -92,10 +95,7 @@
 
     def reserved_on(self, worker_id: str) -> Resources:
         """Return the resources that runs reserve on one worker."""
-        reserved = Resources()
-        for name in self._runs_by_worker.get(worker_id, ()):
-            reserved = reserved + self._runs[name].reserved
-        return reserved
+        return self._reserved.get(worker_id, NOTHING)
 
     def add(self, job: BatchJob, progress: JobProgress) -> None:
         """Track a job and the active runs in its recorded progress."""
@@ -126,6 +126,19 @@
     def _add_run(self, run: Run) -> None:
         self._runs[run.name] = run
         self._runs_by_worker.setdefault(run.worker_id, {})[run.name] = None
+        self._runs_by_job.setdefault(run.name.job_id, {})[run.name] = None
+        self._reserved[run.worker_id] = self.reserved_on(run.worker_id) + run.reserved
+
+    def _remove_run(self, name: RunName) -> Run | None:
+        run = self._runs.pop(name, None)
+        if run is None:
+            return None
+        del self._runs_by_worker[run.worker_id][name]
+        del self._runs_by_job[name.job_id][name]
+        if not self._runs_by_job[name.job_id]:
+            del self._runs_by_job[name.job_id]
+        self._reserved[run.worker_id] = self.reserved_on(run.worker_id) - run.reserved
+        return run
 
     def pop_changed(self) -> set[str]:
         """Return the ids of the jobs that changed since the last call."""
@@ -213,10 +226,9 @@
 
     def end_run(self, name: RunName, end: RunEnd, checkpoint: str = "") -> tuple[RunName, ...]:
         """Record the end of a run; return the runs that must be stopped because of it."""
-        run = self._runs.pop(name, None)
+        run = self._remove_run(name)
         if run is None:
             return ()
-        self._runs_by_worker[run.worker_id].pop(name, None)
         tracked = self._jobs.get(name.job_id)
         _ends(1, end=end.value)
         logger.info(
@@ -261,7 +273,7 @@
         del self._jobs[job_id]
         self._changed.add(job_id)
         logger.info("job_ended", extra={"request": job_id, "state": tracked.state.value})
-        return tuple(name for name in self._runs if name.job_id == job_id)
+        return tuple(self._runs_by_job.get(job_id, ()))
 
     def cancel(self, job_id: str) -> tuple[RunName, ...]:
         """Cancel a job; return its runs, which must be stopped."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from hornbeamfold.batch import Bounds, OperatorState
+from hornbeamfold.batch import Bounds, OperatorState, RunName
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.session import Session
@@ -14,6 +14,8 @@
 CORES_PER_ACCELERATOR = 8
 # The lower bound of the assumed remaining time, as estimates are often too short.
 MIN_REMAINING_MS = 500
+# Workers report progress about once a second.
+MAX_ESTIMATE_AGE_MS = 1_000
 
 
 def candidate_workers(
@@ -90,9 +92,7 @@
     step = tracked.job.steps[index]
     if not (step.gang or step.one_rack or step.max_per_worker):
         return placed
-    for run in tracker.runs.values():
-        if run.name.job_id != tracked.job.job_id:
-            continue
+    for run in tracker.runs_of(tracked.job.job_id):
         if run.name.task.step == index and run.name.task.occurrence == occurrence:
             placed[run.worker_id] = placed.get(run.worker_id, 0) + 1
     return placed
@@ -120,24 +120,39 @@
     return entitled
 
 
-def placed_runs(tracker: JobTracker, now_ms: int) -> list[PlacedRun]:
-    """Return the active runs with estimates of remaining time and of work lost on preemption."""
-    found: list[PlacedRun] = []
-    for run in tracker.runs.values():
-        tracked = tracker.jobs.get(run.name.job_id)
-        if tracked is None:
-            found.append(
-                PlacedRun(
-                    run.name, run.worker_id, run.reserved, 0, True, MIN_REMAINING_MS, 0.0,
-                    stopping=True,
-                )
-            )  # fmt: skip
-            continue
-        found.append(_placed_run(run, tracked, now_ms))
-    return found
+class PlacedRuns:
+    """The active runs as the planner sees them, estimated again when there is news of a run.
 
+    Estimates made from the same report differ little, so they are kept for a while.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[RunName, tuple[Run, int, PlacedRun]] = {}
+
+    def current(self, tracker: JobTracker, now_ms: int) -> list[PlacedRun]:
+        """Return the runs with estimates of remaining time and of work lost on preemption."""
+        known: dict[RunName, tuple[Run, int, PlacedRun]] = {}
+        for name, run in tracker.runs.items():
+            previous = self._known.get(name)
+            if (
+                previous is not None
+                and previous[0] is run
+                and now_ms - previous[1] < MAX_ESTIMATE_AGE_MS
+                and name.job_id in tracker.jobs
+            ):
+                known[name] = previous
+                continue
+            known[name] = (run, now_ms, _placed_run(run, tracker.jobs.get(name.job_id), now_ms))
+        self._known = known
+        return [placed for _, _, placed in known.values()]
 
-def _placed_run(run: Run, tracked: TrackedJob, now_ms: int) -> PlacedRun:
+
+def _placed_run(run: Run, tracked: TrackedJob | None, now_ms: int) -> PlacedRun:
+    if tracked is None:
+        # The job has ended, so its runs are being stopped.
+        return PlacedRun(
+            run.name, run.worker_id, run.reserved, 0, True, MIN_REMAINING_MS, 0.0, stopping=True
+        )
     step = tracked.job.steps[run.name.task.step]
     elapsed_ms = now_ms - run.begun_ms
     cores = step.demand.cpu_millis / 1_000
--- a/libs/coordinator/src/hornbeamfold/coordinator/stragglers.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/stragglers.py
@@ -36,6 +36,8 @@
 def straggling_runs(tracker: JobTracker, runs: Iterable[Run], now_ms: int) -> list[Relocation]:
     """Return the runs of one worker that have stalled or would end sooner elsewhere."""
     found: list[Relocation] = []
+    # All runs of a step on one worker are compared with the same runs on other workers.
+    typical_by_step: dict[tuple[str, int, int], float | None] = {}
     for run in runs:
         tracked = tracker.jobs.get(run.name.job_id)
         if tracked is None or run.stop_reason or run.settled_ms is None:
@@ -45,7 +47,13 @@
             continue
         if now_ms - run.moved_ms > STALL_TIMEOUT_MS:
             found.append(Relocation(run.name, "stalled"))
-        elif is_straggler(run, step, typical_duration_ms(tracker, run, now_ms), now_ms):
+            continue
+        if not is_comparable(step):
+            continue
+        key = (run.name.job_id, run.name.task.occurrence, run.name.task.step)
+        if key not in typical_by_step:
+            typical_by_step[key] = typical_duration_ms(tracker, run, now_ms)
+        if is_straggler(run, step, typical_by_step[key], now_ms):
             found.append(Relocation(run.name, "slow"))
     return found
 
@@ -104,13 +112,18 @@
     return median(durations) if len(durations) >= MIN_SIBLINGS else None
 
 
-def is_straggler(run: Run, step: Step, typical_ms: float | None, now_ms: int) -> bool:
-    """Return whether a run is much slower than its siblings and would end sooner if restarted.
+def is_comparable(step: Step) -> bool:
+    """Return whether a run that is slower than its siblings would be faster on another worker.
 
     Members of a gang progress together, and tasks with a rack preference are slow for a reason that
     another worker does not remedy.
     """
-    if typical_ms is None or step.gang or step.one_rack or step.preferred_rack:
+    return not (step.gang or step.one_rack or step.preferred_rack)
+
+
+def is_straggler(run: Run, step: Step, typical_ms: float | None, now_ms: int) -> bool:
+    """Return whether a run is much slower than its siblings and would end sooner if restarted."""
+    if typical_ms is None or not is_comparable(step):
         return False
     duration_ms = projected_duration_ms(run, now_ms)
     if duration_ms is None or duration_ms < SLOW_FACTOR * typical_ms:
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -28,7 +28,7 @@
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.orders import OrderHooks
-from hornbeamfold.coordinator.planner_inputs import candidate_workers, placed_runs, ready_steps
+from hornbeamfold.coordinator.planner_inputs import PlacedRuns, candidate_workers, ready_steps
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
     MIN_CLOCK_RATE,
@@ -47,6 +47,9 @@
 
 # The minimum interval between passes, so that ends and submissions in a burst share one pass.
 MIN_PASS_GAP_MS = 15
+# The pause after a pass as a multiple of its duration. On a slow or busy processor, at least two
+# thirds of the time are left to heartbeats, lease renewals and orders.
+PASS_GAP_RATIO = 2
 # The maximum interval between passes, so that scheduled tasks start in time without an event.
 MAX_PASS_GAP_MS = 200
 # The time after its replacement from which a previous coordinator extends no lease. The margin of
@@ -86,6 +89,8 @@
         self._tracker = JobTracker(deps.clock)
         self._health = WorkerHealth(deps.clock)
         self._urgent_demand = UrgentDemand()
+        self._placed_runs = PlacedRuns()
+        self._reported_workers: set[str] = set()
         self._sessions: dict[str, Session] = {}
         self._active = True
         self._planning = True
@@ -212,12 +217,15 @@
 
     def _plan_while_active(self) -> None:
         while self._active and self._planning:
+            self._wake = Event()
+            began_ms = self._deps.clock()
             self._update_sessions()
             self._end_orphans()
             self._plan_once()
-            self._wake = Event()
-            eventlet.sleep(MIN_PASS_GAP_MS / 1_000)
-            self._wake.wait(timeout=(MAX_PASS_GAP_MS - MIN_PASS_GAP_MS) / 1_000)
+            took_ms = self._deps.clock() - began_ms
+            gap_ms = max(MIN_PASS_GAP_MS, PASS_GAP_RATIO * took_ms)
+            eventlet.sleep(gap_ms / 1_000)
+            self._wake.wait(timeout=max(0.0, MAX_PASS_GAP_MS - gap_ms) / 1_000)
 
     def _notify(self) -> None:
         if not self._wake.ready():
@@ -298,7 +306,9 @@
             self._tracker, self._tracker.runs_on(worker.worker_id), worker, self._deps.clock()
         ):
             self._stop_all((leaving.name,), leaving.reason)
-        self._notify()
+        if worker.worker_id not in self._reported_workers:
+            self._reported_workers.add(worker.worker_id)
+            self._notify()
 
     def _stop_stragglers(self, worker_id: str) -> None:
         """Stop straggling runs; their tasks are placed again once the runs have ended."""
@@ -371,7 +381,8 @@
             return
         self._urgent_demand.record(steps, began)
         headroom = self._urgent_demand.headroom()
-        new_plan = plan(steps, candidates, placed_runs(self._tracker, began), began, headroom)
+        placed_runs = self._placed_runs.current(self._tracker, began)
+        new_plan = plan(steps, candidates, placed_runs, began, headroom)
         _plan_ms(self._deps.clock() - began)
         self._execute(new_plan)
 
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -1,6 +1,11 @@
-"""Tracks free and reserved capacity on all workers during a planning pass."""
+"""Tracks free and reserved capacity on all workers during a planning pass.
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+Every lookup starts from an index, because a full cluster has thousands of workers of which only a
+few can take one more task.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from hornbeamfold.batch import Resources
@@ -11,6 +16,13 @@
 ACCELERATOR_WEIGHT = 2.0
 
 
+@dataclass(frozen=True)
+class WorkerGroup:
+    """The workers that a step may use in one rack, or in all racks if `rack` is None."""
+
+    rack: str | None = None
+
+
 @dataclass(frozen=True)
 class Reservation:
     """Capacity on a worker that is reserved for a waiting step from `start_ms` on."""
@@ -20,32 +32,50 @@
     start_ms: int
 
 
+@dataclass(frozen=True)
+class _WorkerKind:
+    """What workers that can hold the same number of idle tasks have in common."""
+
+    capacity: Resources
+    labels: frozenset[str]
+
+
+# The workers of a service in one rack, or in all racks if the rack is None.
+_GroupKey = tuple[str, str | None]
+
+
 class ClusterCapacity:
     """The free capacity of each worker, reduced as tasks are placed."""
 
     def __init__(self, workers: Iterable[CandidateWorker]) -> None:
         self._workers: dict[str, CandidateWorker] = {}
         self._free: dict[str, Resources] = {}
-        self._workers_by_rack: dict[str, list[str]] = {}
-        self._reservations: list[Reservation] = []
-        self._idle_accelerators: dict[str, int] = {}
+        self._reservations: dict[str, list[Reservation]] = {}
+        self._members: dict[_GroupKey, list[str]] = {}
+        self._idle_accelerators: dict[_GroupKey, int] = {}
+        self._kinds: dict[_GroupKey, Counter[_WorkerKind]] = {}
+        # Worker ids by service and by the number of free accelerators.
+        self._by_free_accelerators: dict[str, dict[int, dict[str, None]]] = {}
+        self._racks: dict[str, dict[str, None]] = {}
         for worker in workers:
-            self._idle_accelerators[worker.service] = (
-                self._idle_accelerators.get(worker.service, 0) + worker.free.accelerators
-            )
-            self._workers[worker.worker_id] = worker
-            self._free[worker.worker_id] = worker.free
-            self._workers_by_rack.setdefault(worker.rack, []).append(worker.worker_id)
-
-    @property
-    def racks(self) -> Mapping[str, Sequence[str]]:
-        """The worker ids of each rack."""
-        return self._workers_by_rack
-
-    @property
-    def workers(self) -> Iterable[str]:
-        """The ids of all workers that accept new tasks."""
-        return self._workers.keys()
+            self._add(worker)
+
+    def _add(self, worker: CandidateWorker) -> None:
+        self._workers[worker.worker_id] = worker
+        self._free[worker.worker_id] = worker.free
+        self._racks.setdefault(worker.service, {})[worker.rack] = None
+        buckets = self._by_free_accelerators.setdefault(worker.service, {})
+        buckets.setdefault(worker.free.accelerators, {})[worker.worker_id] = None
+        kind = _WorkerKind(worker.capacity, worker.labels)
+        for key in ((worker.service, None), (worker.service, worker.rack)):
+            self._members.setdefault(key, []).append(worker.worker_id)
+            idle = self._idle_accelerators.get(key, 0) + worker.free.accelerators
+            self._idle_accelerators[key] = idle
+            self._kinds.setdefault(key, Counter())[kind] += 1
+
+    def racks(self, service: str) -> Iterable[str]:
+        """Return the racks that have workers of a service."""
+        return self._racks.get(service, {})
 
     def worker(self, worker_id: str) -> CandidateWorker:
         """Return a worker's description."""
@@ -59,24 +89,74 @@
         """Return the free resources of a worker, including reserved ones."""
         return self._free[worker_id]
 
-    def idle_accelerators(self, service: str) -> int:
+    def idle_accelerators(self, service: str, rack: str | None = None) -> int:
         """Return the number of free accelerators of a service, including reserved ones."""
-        return self._idle_accelerators.get(service, 0)
+        return self._idle_accelerators.get((service, rack), 0)
+
+    def members(self, step: ReadyStep, group: WorkerGroup) -> list[str]:
+        """Return the workers of a group that are eligible for a step, regardless of capacity."""
+        ids = self._members.get((step.job.service, group.rack), ())
+        return [each for each in ids if is_eligible(step, self._workers[each])]
+
+    def members_with_accelerators(self, step: ReadyStep, group: WorkerGroup) -> list[str]:
+        """Return the eligible workers with enough free accelerators for one task of a step."""
+        found: list[str] = []
+        for accelerators, ids in self._by_free_accelerators.get(step.job.service, {}).items():
+            if accelerators < step.step.demand.accelerators:
+                continue
+            for worker_id in ids:
+                worker = self._workers[worker_id]
+                if group.rack is not None and worker.rack != group.rack:
+                    continue
+                if is_eligible(step, worker):
+                    found.append(worker_id)
+        return found
+
+    def has_members(self, step: ReadyStep, group: WorkerGroup) -> bool:
+        """Return whether a group has a worker that is eligible for a step."""
+        ids = self._members.get((step.job.service, group.rack), ())
+        return any(is_eligible(step, self._workers[each]) for each in ids)
+
+    def task_capacity(self, step: ReadyStep, group: WorkerGroup) -> int:
+        """Return how many tasks of a step would fit on the group's workers if they were idle."""
+        limit = step.step.max_per_worker or step.step.count
+        label = step.step.required_label
+        total = 0
+        for kind, count in self._kinds.get((step.job.service, group.rack), {}).items():
+            if not label or label in kind.labels:
+                total += count * tasks_that_fit(step.step.reserved, kind.capacity, limit)
+        for worker_id in step.avoid:
+            worker = self._workers.get(worker_id)
+            if worker is None or worker.service != step.job.service:
+                continue
+            if group.rack not in (None, worker.rack) or (label and label not in worker.labels):
+                continue
+            total -= tasks_that_fit(step.step.reserved, worker.capacity, limit)
+        return total
 
     def allocate(self, worker_id: str, resources: Resources) -> None:
         """Subtract resources from the free capacity of a worker."""
-        self._free[worker_id] = self._free[worker_id] - resources
-        self._idle_accelerators[self._workers[worker_id].service] -= resources.accelerators
+        worker = self._workers[worker_id]
+        before = self._free[worker_id]
+        self._free[worker_id] = before - resources
+        if not resources.accelerators:
+            return
+        buckets = self._by_free_accelerators[worker.service]
+        del buckets[before.accelerators][worker_id]
+        after = before.accelerators - resources.accelerators
+        buckets.setdefault(after, {})[worker_id] = None
+        for key in ((worker.service, None), (worker.service, worker.rack)):
+            self._idle_accelerators[key] -= resources.accelerators
 
     def add_reservation(self, reservation: Reservation) -> None:
         """Reserve capacity for a waiting step; only tasks that end before it starts may use it."""
-        self._reservations.append(reservation)
+        self._reservations.setdefault(reservation.worker_id, []).append(reservation)
 
     def available(self, worker_id: str, ends_ms: int) -> Resources:
         """Return the resources of a worker that a task ending at `ends_ms` may use."""
         available = self._free[worker_id]
-        for reservation in self._reservations:
-            if reservation.worker_id == worker_id and ends_ms > reservation.start_ms:
+        for reservation in self._reservations.get(worker_id, ()):
+            if ends_ms > reservation.start_ms:
                 available = available - reservation.resources
         return available
 
@@ -89,6 +169,20 @@
     return not label or label in worker.labels
 
 
+def tasks_that_fit(demand: Resources, available: Resources, limit: int) -> int:
+    """Return how many tasks fit into the available resources, at most `limit`."""
+    if not demand.fits(available):
+        return 0
+    fit = limit
+    if demand.accelerators:
+        fit = min(fit, available.accelerators // demand.accelerators)
+    if demand.cpu_millis:
+        fit = min(fit, available.cpu_millis // demand.cpu_millis)
+    if demand.memory_mb:
+        fit = min(fit, available.memory_mb // demand.memory_mb)
+    return fit
+
+
 def remaining_share(worker: CandidateWorker, remaining: Resources) -> float:
     """Return the weighted share of a worker's capacity in `remaining`; lowest is best fit."""
     capacity = worker.capacity
@@ -107,31 +201,28 @@
     available: Callable[[str], Resources],
 ) -> list[str]:
     """Return workers for up to `count` tasks of a step, best fit first, without allocating."""
+    ranked: list[tuple[float, str, int]] = []
     demand = step.step.reserved
-    max_per_worker = step.step.max_per_worker or count + sum(step.placed_on.values())
-    remaining: dict[str, Resources] = {}
-    task_counts: dict[str, int] = {}
     for worker_id in workers:
-        if not is_eligible(step, cluster.worker(worker_id)):
+        resources = available(worker_id)
+        if not demand.fits(resources):
             continue
-        available_resources = available(worker_id)
-        if demand.fits(available_resources) and step.placed_on.get(worker_id, 0) < max_per_worker:
-            remaining[worker_id] = available_resources
-            task_counts[worker_id] = step.placed_on.get(worker_id, 0)
+        fit = fitting_tasks(step, worker_id, resources, count)
+        if fit > 0:
+            share = remaining_share(cluster.worker(worker_id), resources)
+            ranked.append((share, worker_id, fit))
+    ranked.sort()
     chosen: list[str] = []
-    while len(chosen) < count and remaining:
-        worker_id = min(
-            remaining,
-            key=lambda each: (remaining_share(cluster.worker(each), remaining[each]), each),
-        )
+    for _, worker_id, fit in ranked:
         # The best-fitting worker remains the best fit while another task fits on it.
-        while (
-            len(chosen) < count
-            and task_counts[worker_id] < max_per_worker
-            and demand.fits(remaining[worker_id])
-        ):
-            remaining[worker_id] = remaining[worker_id] - demand
-            task_counts[worker_id] += 1
-            chosen.append(worker_id)
-        del remaining[worker_id]
+        chosen.extend([worker_id] * min(fit, count - len(chosen)))
+        if len(chosen) == count:
+            break
     return chosen
+
+
+def fitting_tasks(step: ReadyStep, worker_id: str, available: Resources, limit: int) -> int:
+    """Return how many more tasks of a step fit on a worker, at most `limit`."""
+    if step.step.max_per_worker:
+        limit = min(limit, step.step.max_per_worker - step.placed_on.get(worker_id, 0))
+    return tasks_that_fit(step.step.reserved, available, limit)
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -49,10 +49,13 @@
         return TaskRef(self.occurrence, self.step_index, index)
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, eq=False)
 class PlacedRun:
     """A run that uses resources on a worker; `remaining_ms` is an estimate.
 
+    Runs are compared by identity: a pass looks thousands of them up, and hashing their fields would
+    take most of its time.
+
     A `protected` run is never preempted. `lost_work` is the work that preemption would discard, in
     core-seconds, where an accelerator counts as 8 cores. `gang` is the job, occurrence and step if
     the tasks of the step are gang-scheduled. A `stopping` run already has a stop order.
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import replace
+from functools import cached_property
 
-from hornbeamfold.scheduling.cluster import ClusterCapacity, Reservation, pack
+from hornbeamfold.scheduling.cluster import ClusterCapacity, Reservation, WorkerGroup, pack
 from hornbeamfold.scheduling.inputs import (
     Assignment,
     CandidateWorker,
@@ -13,7 +14,7 @@
     ReadyStep,
 )
 from hornbeamfold.scheduling.locality import candidate_groups
-from hornbeamfold.scheduling.reclaim import reclaim
+from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import reserve
 
 # The maximum number of blocked steps with reserved capacity. With one, every large gang further
@@ -55,40 +56,76 @@
     `headroom` is the number of accelerators of each service that non-urgent work leaves free for
     the urgent work that is expected, so that fewer runs have to be preempted for it.
     """
-    cluster = ClusterCapacity(workers)
-    assignments: list[Assignment] = []
-    preemptions: list[Preemption] = []
-    victim_runs: set[PlacedRun] = set()
-    remaining: Sequence[PlacedRun] = placed_runs
-    blocked = 0
-    reserved_steps = 0
+    run = _Pass(workers, placed_runs, now_ms, headroom)
     for step in sorted(steps, key=lambda each: order_key(each, now_ms)):
-        groups = candidate_groups(cluster, step, now_ms)
-        max_tasks = _max_tasks(cluster, step, headroom.get(step.job.service, 0), now_ms)
-        chosen = _place(cluster, step, groups, now_ms, max_tasks)
+        run.place(step)
+    return run.result()
+
+
+class _Pass:
+    """The state of one planning pass."""
+
+    def __init__(
+        self,
+        workers: Sequence[CandidateWorker],
+        placed_runs: Sequence[PlacedRun],
+        now_ms: int,
+        headroom: Mapping[str, int],
+    ) -> None:
+        self._cluster = ClusterCapacity(workers)
+        self._placed_runs = placed_runs
+        self._now_ms = now_ms
+        self._headroom = headroom
+        self._assignments: list[Assignment] = []
+        self._preemptions: list[Preemption] = []
+        self._blocked = 0
+        self._reserved_steps = 0
+
+    @cached_property
+    def _preemptible_runs(self) -> PreemptibleRuns:
+        return PreemptibleRuns(self._placed_runs)
+
+    @cached_property
+    def _runs_by_end_time(self) -> Sequence[PlacedRun]:
+        return sorted(self._placed_runs, key=lambda each: (each.remaining_ms, each.name))
+
+    def result(self) -> Plan:
+        """Return the decisions so far."""
+        return Plan(tuple(self._assignments), tuple(self._preemptions), self._blocked)
+
+    def place(self, step: ReadyStep) -> None:
+        """Place the waiting tasks of a step, or preempt or reserve what they need."""
+        groups = candidate_groups(self._cluster, step, self._now_ms)
+        headroom = self._headroom.get(step.job.service, 0)
+        max_tasks = _max_tasks(self._cluster, step, headroom, self._now_ms)
+        chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
         for index, worker_id in zip(step.waiting, chosen, strict=False):
-            cluster.allocate(worker_id, step.step.reserved)
+            self._cluster.allocate(worker_id, step.step.reserved)
             reason = "entitled" if step.entitled else "tightest fit"
-            assignments.append(Assignment(step.job.job_id, step.ref(index), worker_id, reason))
-        unplaced = step.waiting[len(chosen) :]
-        if not unplaced:
-            continue
-        blocked += 1
+            self._assignments.append(
+                Assignment(step.job.job_id, step.ref(index), worker_id, reason)
+            )
+        if len(chosen) == len(step.waiting):
+            return
+        self._blocked += 1
         if step.entitled:
-            victims = _reclaim(cluster, step, len(chosen), groups, remaining, now_ms)
-            if victims:
-                victim_runs.update(victims)
-                remaining = [
-                    replace(each, stopping=True) if each in victim_runs else each
-                    for each in remaining
-                ]
-            preemptions.extend(
-                Preemption(each.name, each.worker_id, step.job.job_id) for each in victims
+            self._reclaim(replace(step, waiting=step.waiting[len(chosen) :]), groups)
+        elif self._reserved_steps < MAX_RESERVATIONS and not chosen:
+            self._reserved_steps += reserve(
+                self._cluster, step, groups, self._runs_by_end_time, self._now_ms
             )
-            continue
-        if reserved_steps < MAX_RESERVATIONS and not chosen:
-            reserved_steps += reserve(cluster, step, groups, placed_runs, now_ms)
-    return Plan(tuple(assignments), tuple(preemptions), blocked)
+
+    def _reclaim(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> None:
+        """Reserve the capacity of stopping runs for an entitled step, and preempt the rest."""
+        found = reclaim(self._cluster, step, groups, self._preemptible_runs)
+        if found is None:
+            return
+        for worker_id in found.workers:
+            self._cluster.add_reservation(Reservation(worker_id, step.step.reserved, self._now_ms))
+        self._preemptible_runs.mark_stopping(found.victims)
+        self._preemptions.extend(
+            Preemption(each.name, each.worker_id, step.job.job_id) for each in found.victims
+        )
 
 
 def _max_tasks(cluster: ClusterCapacity, step: ReadyStep, headroom: int, now_ms: int) -> int:
@@ -108,35 +145,22 @@
 def _place(
     cluster: ClusterCapacity,
     step: ReadyStep,
-    groups: Sequence[Sequence[str]],
+    groups: Sequence[WorkerGroup],
     now_ms: int,
     count: int,
 ) -> list[str]:
     """Return workers for `count` waiting tasks: all or none of a gang, otherwise as many as fit."""
     ends_ms = now_ms + step.step.estimate_ms
+    needed = step.step.demand.accelerators
     best: list[str] = []
     for group in groups:
-        chosen = pack(cluster, step, count, group, lambda each: cluster.available(each, ends_ms))
+        idle = cluster.idle_accelerators(step.job.service, group.rack)
+        if idle < needed * (count if step.step.gang else 1):
+            continue
+        members = cluster.members_with_accelerators(step, group)
+        chosen = pack(cluster, step, count, members, lambda each: cluster.available(each, ends_ms))
         if len(chosen) == count:
             return chosen
         if len(chosen) > len(best) and not step.step.gang:
             best = chosen
     return best
-
-
-def _reclaim(
-    cluster: ClusterCapacity,
-    step: ReadyStep,
-    placed: int,
-    groups: Sequence[Sequence[str]],
-    placed_runs: Sequence[PlacedRun],
-    now_ms: int,
-) -> tuple[PlacedRun, ...]:
-    """Reserve the capacity of stopping runs for an entitled step; return the runs to preempt."""
-    unplaced_step = replace(step, waiting=step.waiting[placed:])
-    found = reclaim(cluster, unplaced_step, groups, placed_runs)
-    if found is None:
-        return ()
-    for worker_id in found.workers:
-        cluster.add_reservation(Reservation(worker_id, step.step.reserved, now_ms))
-    return found.victims
--- a/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
@@ -3,24 +3,31 @@
 from collections.abc import Sequence
 
 from hornbeamfold.batch import Resources
-from hornbeamfold.scheduling.cluster import ClusterCapacity, Reservation, pack
+from hornbeamfold.scheduling.cluster import (
+    ClusterCapacity,
+    Reservation,
+    WorkerGroup,
+    fitting_tasks,
+    pack,
+)
 from hornbeamfold.scheduling.inputs import PlacedRun, ReadyStep
 
 
 def reserve(
     cluster: ClusterCapacity,
     step: ReadyStep,
-    groups: Sequence[Sequence[str]],
-    placed_runs: Sequence[PlacedRun],
+    groups: Sequence[WorkerGroup],
+    by_end_time: Sequence[PlacedRun],
     now_ms: int,
 ) -> bool:
     """Reserve capacity where all waiting tasks fit the earliest, as placed runs end.
 
-    Returns False if they fit in no group of workers.
+    `by_end_time` has the placed runs in the order in which they end. Returns False if the tasks
+    fit in no group of workers.
     """
     best: tuple[int, list[str]] | None = None
     for group in groups:
-        found = _earliest_fit(cluster, step, group, placed_runs)
+        found = _earliest_fit(cluster, step, group, by_end_time)
         if found is not None and (best is None or found[0] < best[0]):
             best = found
     if best is None:
@@ -34,24 +41,28 @@
 def _earliest_fit(
     cluster: ClusterCapacity,
     step: ReadyStep,
-    group: Sequence[str],
-    placed_runs: Sequence[PlacedRun],
+    group: WorkerGroup,
+    by_end_time: Sequence[PlacedRun],
 ) -> tuple[int, list[str]] | None:
     """Return the delay in ms until all waiting tasks fit in a group, and their workers."""
-    members = set(group)
-    free: dict[str, Resources] = {each: cluster.free(each) for each in group}
     count = len(step.waiting)
-    by_end_time = [each for each in placed_runs if each.worker_id in members]
-    by_end_time.sort(key=lambda each: (each.remaining_ms, each.name))
-    chosen = pack(cluster, step, count, group, free.__getitem__)
-    if len(chosen) == count:
-        return 0, chosen
-    for position, run in enumerate(by_end_time):
-        free[run.worker_id] = free[run.worker_id] + run.reserved
-        following = by_end_time[position + 1 : position + 2]
-        if following and following[0].remaining_ms == run.remaining_ms:
+    free: dict[str, Resources] = {}
+    fits: dict[str, int] = {}
+    total = 0
+    for worker_id in cluster.members(step, group):
+        free[worker_id] = cluster.free(worker_id)
+        fits[worker_id] = fitting_tasks(step, worker_id, free[worker_id], count)
+        total += fits[worker_id]
+    if total >= count:
+        return 0, pack(cluster, step, count, free, free.__getitem__)
+    for run in by_end_time:
+        worker_id = run.worker_id
+        if worker_id not in free:
             continue
-        chosen = pack(cluster, step, count, group, free.__getitem__)
-        if len(chosen) == count:
-            return run.remaining_ms, chosen
+        free[worker_id] = free[worker_id] + run.reserved
+        fit = fitting_tasks(step, worker_id, free[worker_id], count)
+        total += fit - fits[worker_id]
+        fits[worker_id] = fit
+        if total >= count:
+            return run.remaining_ms, pack(cluster, step, count, free, free.__getitem__)
     return None
