--- a/libs/batch/src/hornbeamfold/batch/ports.py
+++ b/libs/batch/src/hornbeamfold/batch/ports.py
@@ -173,9 +173,9 @@
 class LeaseRenewal:
     """Extends the lease of all runs on a worker until `expires_ms` on the worker's clock.
 
-    The worker forgets the ends up to number `acknowledged`; a renewal with such a number reaches only
-    the incarnation that answered the last one. The worker answers when a run ends, or else after
-    `wait_ms`. Without `expires_ms` the lease is unchanged.
+    The worker forgets the ends up to number `acknowledged`; a renewal with such a number reaches
+    only the incarnation that answered the last one. The worker answers when a run ends, or else
+    after `wait_ms`. Without `expires_ms` the lease is unchanged.
     """
 
     token: int
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -102,7 +102,7 @@
 def _free_soon(
     cluster: ClusterCapacity, step: ReadyStep, group: WorkerGroup, runs: PreemptibleRuns
 ) -> dict[str, Resources]:
-    """Return the resources of each worker of a group that are free once stopping runs have ended."""
+    """Return what is free on each worker of a group once stopping runs have ended."""
     free: dict[str, Resources] = {}
     for worker_id in cluster.members(step, group):
         free[worker_id] = cluster.available(worker_id, FAR_FUTURE_MS)
