Spend fewer calls on workers: ends of gangs, renewals without news, workers that left

Renewals without news came every 0.8 s from each of 270 workers, a third of a core. Gangs with a member on a worker that had left at short notice waited 8 s, for its entry to leave the registry, while connections to it were refused.

Change: members of a gang that is done are stopped only if a later report lists them. Renewals wait so long that those without news take a fifth of the processor. A draining worker whose host refuses two connections in a row has left.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -32,8 +32,9 @@
     `settled_ms` is when it became certain that the worker has the start order or never will.
     `moved_ms` is when its progress last changed. `from_percent` is its progress at `begun_ms`. If
     the run began under an earlier coordinator or from a checkpoint, it is None until the first
-    report, and from then on `begun_ms` is the time of that report. All times are on the
-    coordinator's clock.
+    report, and from then on `begun_ms` is the time of that report. `gang_done_ms` is when the end of
+    another member showed that the gang is done, so that this run ends without a stop order. All
+    times are on the coordinator's clock.
     """
 
     name: RunName
@@ -46,6 +47,7 @@
     moved_ms: int = 0
     checkpoint: str = ""
     from_percent: float | None = 0.0
+    gang_done_ms: int | None = None
 
     def projected_ms(self, now_ms: int, min_percent: float) -> float | None:
         """Return the projected duration of the run at its rate of progress.
@@ -253,12 +255,19 @@
         if end is RunEnd.FAILED:
             tracked.avoid_worker(name.task, run.worker_id)
         self._changed.add(name.job_id)
+        if end is RunEnd.DONE:
+            self._mark_gang_done(tracked, name)
         if tracked.ended:
             return self._close_job(tracked)
         if end is RunEnd.DONE:
             return ()
         return self._remaining_gang_members(tracked, name)
 
+    def _mark_gang_done(self, tracked: TrackedJob, name: RunName) -> None:
+        now = self._clock()
+        for other in self._remaining_gang_members(tracked, name):
+            self._runs[other] = replace(self._runs[other], gang_done_ms=now)
+
     def _remaining_gang_members(self, tracked: TrackedJob, name: RunName) -> tuple[RunName, ...]:
         others: list[RunName] = []
         for ref in tracked.gang_refs(name.task):
@@ -273,7 +282,11 @@
         del self._jobs[job_id]
         self._changed.add(job_id)
         logger.info("job_ended", extra={"request": job_id, "state": tracked.state.value})
-        return tuple(self._runs_by_job.get(job_id, ()))
+        return tuple(
+            name
+            for name in self._runs_by_job.get(job_id, ())
+            if self._runs[name].gang_done_ms is None
+        )
 
     def cancel(self, job_id: str) -> tuple[RunName, ...]:
         """Cancel a job; return its runs, which must be stopped."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -25,8 +25,12 @@
 
 # How long a renewal waits at the worker for a run to end: the worker's maximum when it is idle, and
 # less while it has runs whose progress must be monitored.
-IDLE_RENEWAL_WAIT_MS = 2_000
-BUSY_RENEWAL_WAIT_MS = 800
+MAX_RENEWAL_WAIT_MS = 2_000
+MIN_BUSY_RENEWAL_WAIT_MS = 800
+# The processor time of one renewal on a standard core, and the share of the processor for renewals
+# that bring no news. With more workers for each core, renewals wait longer.
+RENEWAL_COST_MS = 1.2
+MAX_RENEWAL_SHARE = 0.2
 # A worker that has not answered a renewal for this long gets no new tasks.
 REACHABILITY_TIMEOUT_MS = 3_500
 # Ends of runs are acknowledged once they are stored; waiting for that delays the next renewal by at
@@ -38,6 +42,9 @@
 # Work on a lost worker restarts after its lease expires. Together with the time above, work
 # continues for 12 s without the store.
 MAX_LEASE_MS = 6_000
+# A draining worker whose host refuses this many connections in a row has left, and its runs with it.
+# Its entry in the registry may last for seconds more.
+REFUSALS_OF_A_LEFT_WORKER = 2
 # A worker's clock may be 2% slow. The margin is for the delivery of the renewal.
 MIN_CLOCK_RATE = 0.97
 CLOCK_MARGIN_MS = 300
@@ -48,11 +55,18 @@
     return min(bounds.lease_max_ms, MAX_LEASE_MS)
 
 
+def busy_renewal_wait_ms(workers: int, cores: float) -> int:
+    """Return how long renewals wait at workers with runs, for a coordinator with this capacity."""
+    wait_ms = workers * RENEWAL_COST_MS / (MAX_RENEWAL_SHARE * min(1.0, cores))
+    return int(min(MAX_RENEWAL_WAIT_MS, max(MIN_BUSY_RENEWAL_WAIT_MS, wait_ms)))
+
+
 @dataclass(frozen=True)
 class SessionHooks:
     """The callbacks of a session to its coordinator."""
 
     orders: OrderHooks
+    busy_wait_ms: Callable[[], int]  # how long a renewal waits at a worker that has runs
     on_report: Callable[["Session", LeaseReport, int], None]
     on_ended: Callable[["Session", tuple[EndedTask, ...]], None]
     on_runs_lost: Callable[["Session", str], None]  # all runs on the worker are certainly over
@@ -130,11 +144,6 @@
         """The time by which all runs on the worker have ended if no renewal reaches it."""
         return self._lease_until_ms
 
-    @property
-    def _has_left(self) -> bool:
-        """Whether the worker was draining and is no longer in the platform's registry."""
-        return self._worker.draining and not self._registered
-
     def update(self, worker: Worker) -> None:
         """Update the worker from its entry in the platform's registry."""
         self._registered = True
@@ -171,12 +180,13 @@
 
     def run(self) -> None:
         """Renew the lease until the session is closed or the coordinator is replaced."""
+        refusals = 0
         while self._hooks.orders.is_active() and not self._closed:
             sent_ms = self._clock()
             # The first renewal does not wait, as nothing may start before the worker's runs are
             # known.
             first = self._reported_ms is None
-            wait_ms = BUSY_RENEWAL_WAIT_MS if self._has_running_tasks else IDLE_RENEWAL_WAIT_MS
+            wait_ms = self._hooks.busy_wait_ms() if self._has_running_tasks else MAX_RENEWAL_WAIT_MS
             if first or self._disconnected:
                 wait_ms = 0
             # After a failed renewal another incarnation may answer, which numbers its ends anew. It
@@ -189,6 +199,7 @@
                 return
             match outcome:
                 case LeaseReport():
+                    refusals = 0
                     self._on_report(outcome, sent_ms)
                 case Refused(Refusal.FENCED):
                     self._hooks.orders.on_fenced(f"worker {self._worker.worker_id}")
@@ -202,9 +213,10 @@
                     eventlet.sleep(RETRY_MS / 1_000)
                 case NoAnswer(reason, connection_refused):
                     self._note_disconnected(reason)
+                    refusals = refusals + 1 if connection_refused else 0
                     if self._clock() > self._lease_until_ms:
                         self._hooks.on_runs_lost(self, "lease expired")
-                    elif connection_refused and self._has_left:
+                    elif self._worker.draining and refusals >= REFUSALS_OF_A_LEFT_WORKER:
                         self._hooks.on_runs_lost(self, "left")
                     eventlet.sleep(RETRY_MS / 1_000)
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -34,6 +34,7 @@
     MIN_CLOCK_RATE,
     Session,
     SessionHooks,
+    busy_renewal_wait_ms,
     lease_ms,
 )
 from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
@@ -50,6 +51,9 @@
 # The pause after a pass as a multiple of its duration. On a slow or busy processor, at least two
 # thirds of the time are left to heartbeats, lease renewals and orders.
 PASS_GAP_RATIO = 2
+# The members of a gang end together. One that is still listed in a report that was requested this
+# long after the end of another is stopped.
+GANG_END_MS = 500
 # The maximum interval between passes, so that scheduled tasks start in time without an event.
 MAX_PASS_GAP_MS = 200
 # The time after its replacement from which a previous coordinator extends no lease. The margin of
@@ -59,7 +63,7 @@
 
 @dataclass(frozen=True)
 class TermDependencies:
-    """The dependencies of a term.
+    """The dependencies of a term; `cores` is the CPU time per second that this instance has.
 
     `state_confirmed_ms` returns when all of the state was last confirmed to be current, and
     `registry_read_ms` when the worker registry was; None if never.
@@ -77,6 +81,7 @@
     bounds: Bounds
     clock: Clock
     wall: Clock
+    cores: float = 1.0
 
 
 class Term:
@@ -141,6 +146,7 @@
         )
         self._hooks = SessionHooks(
             orders=orders,
+            busy_wait_ms=lambda: busy_renewal_wait_ms(len(self._sessions), deps.cores),
             on_report=self._on_report,
             on_ended=self._on_ended,
             on_runs_lost=self._on_runs_lost,
@@ -293,6 +299,8 @@
                 continue
             self._tracker.settle(task.name)
             self._tracker.update_progress(task)
+            if run.gang_done_ms is not None and sent_ms > run.gang_done_ms + GANG_END_MS:
+                self._stop_all((run.name,), "gang is done")
         session.set_unknown_runs(unknown)
         reported.update(each.name for each in report.ended)
         for run in self._tracker.runs_on(worker.worker_id):
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -17,7 +17,7 @@
 )
 from hornbeamfold.coordinator.job_tracker import JobTracker
 from hornbeamfold.coordinator.orders import OrderHooks
-from hornbeamfold.coordinator.session import Session, SessionHooks
+from hornbeamfold.coordinator.session import MIN_BUSY_RENEWAL_WAIT_MS, Session, SessionHooks
 
 CAPACITY = Resources(64_000, 256_000, 8)
 BOUNDS = Bounds()
@@ -124,6 +124,7 @@
             is_active_run=lambda name: True,
             may_start=lambda run, worker: not calls.named("draining"),
         ),
+        busy_wait_ms=lambda: MIN_BUSY_RENEWAL_WAIT_MS,
         on_report=lambda session, report, sent_ms: calls.note("report", report),
         on_ended=lambda session, ended: calls.note("ended", ended),
         on_runs_lost=lambda session, reason: calls.note("runs lost", reason),
