Wrap two lines that the linter rejected

Cause: was committed without the linter; a line of a doc string and one of a comment had 101 characters. Change: both wrapped; a doc string names the parameter that the function has.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -32,8 +32,8 @@
     `settled_ms` is when it became certain that the worker has the start order or never will.
     `moved_ms` is when its progress last changed. `from_percent` is its progress at `begun_ms`. If
     the run began under an earlier coordinator or from a checkpoint, it is None until the first
-    report, and from then on `begun_ms` is the time of that report. `gang_done_ms` is when the end of
-    another member showed that the gang is done, so that this run ends without a stop order. All
+    report, and from then on `begun_ms` is the time of that report. `gang_done_ms` is when the end
+    of another member showed that the gang is done, so that this run ends without a stop order. All
     times are on the coordinator's clock.
     """
 
@@ -52,7 +52,7 @@
     def projected_ms(self, now_ms: int, min_percent: float) -> float | None:
         """Return the projected duration of the run at its rate of progress.
 
-        Returns None if it has progressed by less than `least_percent` or its start is unknown.
+        Returns None if it has progressed by less than `min_percent` or its start is unknown.
         """
         if self.from_percent is None or self.percent - self.from_percent < min_percent:
             return None
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -42,8 +42,8 @@
 # Work on a lost worker restarts after its lease expires. Together with the time above, work
 # continues for 12 s without the store.
 MAX_LEASE_MS = 6_000
-# A draining worker whose host refuses this many connections in a row has left, and its runs with it.
-# Its entry in the registry may last for seconds more.
+# A draining worker whose host refuses this many connections in a row has left, and its runs with
+# it. Its entry in the registry may last for seconds more.
 REFUSALS_OF_A_LEFT_WORKER = 2
 # A worker's clock may be 2% slow. The margin is for the delivery of the renewal.
 MIN_CLOCK_RATE = 0.97
