--- a/libs/soak/tests/test_soak.py
+++ b/libs/soak/tests/test_soak.py
@@ -25,6 +25,10 @@
         """Guards against SIGHUP ending the process of an instance that is starting."""
         self.check_seed(114, seconds=22, instances=4)
 
+    def test_seed_9101(self) -> None:
+        """Guards against a second run of a task that a worker accepted as it began again."""
+        self.check_seed(9101, seconds=22, instances=6)
+
     def check_seed(self, seed: int, seconds: int, instances: int) -> None:
         """Fail if any guarantee is violated."""
         done = self.soak("--seed", seed, "--seconds", seconds, "--instances", instances)
