Write log lines without switching to other green threads

Cause: eventlet's os.write, which the program gets by monkey patching, switches to other green threads before each write to a pipe and waits while the reader stalls. So each log line let other code run in the middle of a decision, cost four system calls more, and a reader that stalled held up every thread that logs. The tests of the handler ran without the patches and did not see it.

Change: the handler uses the unpatched write; the descriptor is non-blocking.

--- a/libs/telemetry/src/hornbeamfold/telemetry/bounded.py
+++ b/libs/telemetry/src/hornbeamfold/telemetry/bounded.py
@@ -4,6 +4,8 @@
 import os
 from collections import Counter
 
+from eventlet.patcher import original
+
 from hornbeamfold.telemetry.metrics import counter
 
 # Limit for each event; far more than any healthy instance writes.
@@ -11,6 +13,10 @@
 # Limit of the output buffered for a slow reader; about 200 lines.
 MAX_BUFFERED_BYTES = 65_536
 
+# eventlet's own `os.write` switches to other green threads before each write, and waits while the
+# reader stalls.
+_write_now = original("os").write
+
 _dropped_lines = counter(
     "hornbeamfold_log_lines_omitted", "Log lines that were not written, by reason."
 )
@@ -72,7 +78,7 @@
     def _flush(self) -> None:
         while self._buffer:
             try:
-                written = os.write(self._descriptor, self._buffer)
+                written = _write_now(self._descriptor, self._buffer)
             except BlockingIOError:
                 return
             except OSError:
--- a/libs/telemetry/tests/test_bounded.py
+++ b/libs/telemetry/tests/test_bounded.py
@@ -2,6 +2,8 @@
 
 import logging
 import os
+import subprocess
+import sys
 import time
 import unittest
 
@@ -11,6 +13,27 @@
     BoundedHandler,
 )
 
+# Runs in a process of its own, as the patches of eventlet last as long as the process.
+LOG_FROM_GREEN_THREADS = """
+import eventlet
+
+eventlet.monkey_patch()
+
+import logging
+import os
+
+from hornbeamfold.telemetry.bounded import BoundedHandler
+
+reader, writer = os.pipe()
+handler = BoundedHandler(writer)
+switches = []
+eventlet.spawn_n(lambda: switches.append("switched"))
+for second in range(100):
+    handler.handle(logging.makeLogRecord({"msg": "x" * 5_000, "created": float(second)}))
+print(len(switches))
+"""
+PROCESS_TIMEOUT_S = 20
+
 
 class BoundedHandlerTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -44,6 +67,20 @@
         self.assertLess(time.monotonic() - start_s, 5.0)
         self.assertLessEqual(len(self.handler._buffer), MAX_BUFFERED_BYTES)
 
+    def test_a_log_line_does_not_switch_to_another_green_thread(self) -> None:
+        """Guards against a log line that lets other code run within a decision, or waits.
+
+        Found by: a measurement of the cost of a line; the process hung once its reader stalled.
+        """
+        done = subprocess.run(
+            [sys.executable, "-W", "ignore", "-c", LOG_FROM_GREEN_THREADS],
+            capture_output=True,
+            text=True,
+            timeout=PROCESS_TIMEOUT_S,
+            check=True,
+        )
+        self.assertEqual(done.stdout.strip(), "0", done.stderr)
+
     def test_lines_are_not_truncated_after_a_pause_of_the_reader(self) -> None:
         sent = [f"{second:05d}" * 1_000 for second in range(20)]
         data = b""
