--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SECONDS ?= 60
 LIB ?=
 
-.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak
+.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak replay
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
@@ -72,6 +72,9 @@
 random-faults: setup  ## Run random rows of the fault matrix: make random-faults SECONDS=300 [SEED=n]
 	$(PY) -m hornbeamfold.bench.random_faults --seconds $(SECONDS) $(if $(SEED),--seed $(SEED))
 
+replay: setup  ## Replay a recorded burst against the planner.
+	@$(PY) libs/coordinator/tests/load_replay.py $(or $(NAME),large-burst.json)
+
 soak: setup  ## Run a soak test with faults on the emulated platform: make soak SECONDS=60 [SEED=n] [INSTANCES=n] [WORKERS=n]
 	$(PY) -m hornbeamfold.soak --seconds $(SECONDS) --logs target/soak $(if $(SEED),--seed $(SEED)) \
 	  $(if $(INSTANCES),--instances $(INSTANCES)) $(if $(WORKERS),--workers $(WORKERS))
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -1,6 +1,7 @@
 """Builds the inputs of a planning pass from the job tracker and the worker sessions."""
 
 from collections.abc import Iterable
+from math import inf
 
 from hornbeamfold.batch import Bounds, OperatorState, RunName
 from hornbeamfold.coordinator.health import WorkerHealth
@@ -63,6 +64,7 @@
             start_unix_ms = tracked.job.earliest_start_ms(occurrence)
             objective_ms = tracked.job.stretch * tracked.critical_path_ms + tracked.job.slack_ms
             avoid = tracked.avoided_workers(occurrence, index)
+            expired_unix_ms = start_unix_ms + EXPIRY_FACTOR * objective_ms
             found.append(
                 ReadyStep(
                     tracked.job,
@@ -72,7 +74,8 @@
                     tracked.ready_since(occurrence, index, now_ms),
                     now_ms + int(start_unix_ms + objective_ms - unix_ms),
                     job_id in entitled,
-                    now_ms + start_unix_ms + EXPIRY_FACTOR * objective_ms - unix_ms,
+                    # Long-running tasks are needed until their job is cancelled.
+                    inf if step.long_running else now_ms + expired_unix_ms - unix_ms,
                     placed_on,
                     # With half of the workers or more to avoid, none are avoided: a worker on which
                     # a task failed is better than none.
--- a/libs/coordinator/tests/load_replay.py
+++ b/libs/coordinator/tests/load_replay.py
@@ -2,10 +2,13 @@
 
 A recording has the jobs of a day as they were submitted, how long their tasks took, the workers and
 the organisations' guarantees. Nothing fails and no call takes time, so that only the decisions on
-waiting, placing and preempting make a difference.
+waiting, placing and preempting make a difference. Run as a program, this prints the result of a
+recording.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+import logging
+import sys
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -83,9 +86,6 @@
     preemptions: int
 
 
-Planner = Callable[..., Plan]
-
-
 @dataclass(frozen=True)
 class _Active:
     """A run on a simulated worker; `work_ms` is what it still has to do at `begun_ms`."""
@@ -101,17 +101,16 @@
     return msgspec.json.decode((FOLDER / name).read_bytes(), type=Recording)
 
 
-def replay(recording: Recording, planner: Planner = plan) -> Result:
+def replay(recording: Recording) -> Result:
     """Replay a recording until all of its jobs have ended."""
-    return _Replay(recording, planner).run()
+    return _Replay(recording).run()
 
 
 class _Replay:
     """The state of a replay."""
 
-    def __init__(self, recording: Recording, planner: Planner) -> None:
+    def __init__(self, recording: Recording) -> None:
         self._recording = recording
-        self._planner = planner
         self._now_ms = 0
         self._tracker = JobTracker(lambda: self._now_ms)
         self._racks = {
@@ -156,7 +155,7 @@
                 len(candidates),
             )
             urgent_demand.record(steps, self._now_ms)
-            new_plan = self._planner(
+            new_plan = plan(
                 steps,
                 candidates,
                 placed_runs.current(self._tracker, self._now_ms),
@@ -303,3 +302,21 @@
             for step, took_ms in zip(job.steps, durations, strict=True)
         )
         return estimate_critical_path_ms(replace(job, steps=steps))
+
+
+def _print_result(name: str) -> None:
+    logging.disable(logging.CRITICAL)
+    result = replay(load(name))
+    for priority, outcome in result.by_priority.items():
+        print(
+            f"priority {priority}: {outcome.on_time} on time, {outcome.late} late,"
+            f" {outcome.expired} expired, longest wait {max(outcome.waits_ms)} ms"
+        )
+    print(
+        f"guaranteed work waited {result.max_guaranteed_wait_ms} ms at most; {result.preemptions}"
+        f" preemptions lost {result.lost_work:.0f} core-seconds"
+    )
+
+
+if __name__ == "__main__":
+    _print_result(sys.argv[1])
