Log why a ready step waits while its job has no run

Change: the planner gives the first of four reasons (no room, reserved, headroom, rack) with its inputs: how many of the tasks fit into free resources, what is idle, in all and kept free. Nothing is decided differently.

--- a/libs/coordinator/src/hornbeamfold/coordinator/health.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/health.py
@@ -35,6 +35,12 @@
         record = self._records.get(worker_id)
         return record is not None and self._clock() < record.excluded_until_ms
 
+    @property
+    def excluded_count(self) -> int:
+        """The number of workers that get no new tasks at present."""
+        now = self._clock()
+        return sum(now < record.excluded_until_ms for record in self._records.values())
+
     def succeeded(self, worker_id: str) -> None:
         """Record that a run on the worker succeeded."""
         self._records.pop(worker_id, None)
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -250,6 +250,9 @@
             return ()
         if not tracked.finish(name, end, checkpoint or run.checkpoint):
             return ()
+        # A run that was not started leaves the job idle.
+        if run.settled_ms is not None:
+            tracked.record_run_end(name.task, self._clock())
         if end is RunEnd.DONE and run.from_percent == 0:
             tracked.add_duration(name.task, self._clock() - run.begun_ms)
         if end is RunEnd.FAILED:
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -65,17 +65,19 @@
             objective_ms = tracked.job.stretch * tracked.critical_path_ms + tracked.job.slack_ms
             avoid = tracked.avoided_workers(occurrence, index)
             expired_unix_ms = start_unix_ms + EXPIRY_FACTOR * objective_ms
+            ready_ms = tracked.ready_since(occurrence, index, now_ms)
             found.append(
                 ReadyStep(
                     tracked.job,
                     occurrence,
                     index,
                     tuple(sorted(waiting)),
-                    tracked.ready_since(occurrence, index, now_ms),
+                    ready_ms,
                     now_ms + int(start_unix_ms + objective_ms - unix_ms),
                     job_id in entitled,
                     # Long-running tasks are needed until their job is cancelled.
                     inf if step.long_running else now_ms + expired_unix_ms - unix_ms,
+                    _idle_since(tracker, tracked, occurrence, index, ready_ms),
                     placed_on,
                     # With half of the workers or more to avoid, none are avoided: a worker on which
                     # a task failed is better than none.
@@ -85,6 +87,18 @@
     return found
 
 
+def _idle_since(
+    tracker: JobTracker, tracked: TrackedJob, occurrence: int, index: int, ready_ms: int
+) -> int | None:
+    """Return since when a ready step's job has had no run, or None if it has one.
+
+    Tasks that run until their job is cancelled are each needed, whatever else of the job runs.
+    """
+    if not tracked.job.steps[index].long_running and tracker.runs_of(tracked.job.job_id):
+        return None
+    return tracked.idle_since(occurrence, index, ready_ms)
+
+
 def _runs_by_worker(
     tracker: JobTracker, tracked: TrackedJob, occurrence: int, index: int
 ) -> dict[str, int]:
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -39,6 +39,7 @@
 )
 from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
 from hornbeamfold.coordinator.stragglers import runs_outlasting_drain, straggling_runs
+from hornbeamfold.coordinator.wait_log import WaitLog
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
 from hornbeamfold.scheduling import Plan, plan
 from hornbeamfold.telemetry import get_logger, histogram, log_exceptions
@@ -95,6 +96,7 @@
         self._health = WorkerHealth(deps.clock)
         self._urgent_demand = UrgentDemand()
         self._placed_runs = PlacedRuns()
+        self._wait_log = WaitLog(deps.clock)
         self._reported_workers: set[str] = set()
         self._sessions: dict[str, Session] = {}
         self._active = True
@@ -392,6 +394,9 @@
         placed_runs = self._placed_runs.current(self._tracker, began)
         new_plan = plan(steps, candidates, placed_runs, began, headroom)
         _plan_ms(self._deps.clock() - began)
+        self._wait_log.record(
+            new_plan.waits, len(candidates), self._health.excluded_count, len(self._sessions)
+        )
         self._execute(new_plan)
 
     def _execute(self, new_plan: Plan) -> None:
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -27,6 +27,7 @@
         self._done_counts: dict[tuple[int, int], int] = {}
         self._waiting: dict[tuple[int, int], set[int]] = {}
         self._ready_ms: dict[tuple[int, int], int] = {}
+        self._last_run_end_ms: dict[tuple[int, int], int] = {}
         self._avoided_workers: dict[tuple[int, int], dict[str, None]] = {}
         self._durations_ms: dict[tuple[int, int], list[int]] = {}
         self._critical_path_ms = estimate_critical_path_ms(job)
@@ -100,6 +101,19 @@
         """Return when the step became ready; the first call sets it to `now_ms`."""
         return self._ready_ms.setdefault((occurrence, step), now_ms)
 
+    def record_run_end(self, ref: TaskRef, now_ms: int) -> None:
+        """Record when a run of this step ended."""
+        self._last_run_end_ms[ref.occurrence, ref.step] = now_ms
+
+    def idle_since(self, occurrence: int, step: int, ready_ms: int) -> int:
+        """Return since when a step that became ready at `ready_ms` has had no run.
+
+        For tasks that end, a run of any step of the job counts.
+        """
+        if self._job.steps[step].long_running:
+            return max(ready_ms, self._last_run_end_ms.get((occurrence, step), ready_ms))
+        return max((ready_ms, *self._last_run_end_ms.values()))
+
     def avoided_workers(self, occurrence: int, step: int) -> frozenset[str]:
         """Return the workers on which tasks of this step failed, stalled or were too slow."""
         return frozenset(self._avoided_workers.get((occurrence, step), ()))
--- a/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
@@ -7,6 +7,8 @@
     Plan,
     Preemption,
     ReadyStep,
+    Wait,
+    WaitReason,
     weighted_cores,
 )
 from hornbeamfold.scheduling.plan import plan
@@ -18,6 +20,8 @@
     "Plan",
     "Preemption",
     "ReadyStep",
+    "Wait",
+    "WaitReason",
     "plan",
     "weighted_cores",
 ]
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 from math import inf
 
 from hornbeamfold.batch import BatchJob, Resources, RunName, Step, TaskRef
@@ -34,9 +35,10 @@
 
     `ready_ms` is when the first of them became ready and `due_ms` is the time by which the job's
     latency objective expects it to end, both on the coordinator's clock. After `expired_ms` its end
-    is of no more use to the caller. `entitled` jobs are within the guarantee of their organisation.
-    `placed_on` counts the step's active tasks by worker, and `avoid` lists workers on which these
-    tasks should not start again.
+    is of no more use to the caller. `idle_since_ms` is since when the job has had no run although
+    these tasks were ready; None if it has one. `entitled` jobs are within the guarantee of their
+    organisation. `placed_on` counts the step's active tasks by worker, and `avoid` lists workers on
+    which these tasks should not start again.
     """
 
     job: BatchJob
@@ -47,6 +49,7 @@
     due_ms: int
     entitled: bool = False
     expired_ms: float = inf
+    idle_since_ms: int | None = None
     placed_on: Mapping[str, int] = field(default_factory=dict)
     avoid: frozenset[str] = frozenset()
 
@@ -59,6 +62,10 @@
         """Return the reference of the task with this index."""
         return TaskRef(self.occurrence, self.step_index, index)
 
+    def idle_ms(self, now_ms: int) -> int:
+        """Return for how long the job has had no run although these tasks were ready."""
+        return 0 if self.idle_since_ms is None else now_ms - self.idle_since_ms
+
 
 @dataclass(frozen=True, eq=False)
 class PlacedRun:
@@ -102,10 +109,45 @@
     for_job: str
 
 
+class WaitReason(StrEnum):
+    """Why a ready step waits; the first that applies, in this order."""
+
+    NO_ROOM = "no_room"  # free resources of eligible workers are not enough
+    RESERVED = "reserved"  # they are reserved for steps ahead in the queue
+    HEADROOM = "headroom"  # they are kept free for urgent work
+    RACK = "rack"  # they are not in the rack that the step prefers, or not in one rack
+
+
+@dataclass(frozen=True)
+class Wait:
+    """A step that waits while its job has no run, and the inputs of that decision.
+
+    `fitting` counts the waiting tasks, and at most twice as many, that fit into the free resources
+    of eligible workers, whatever is reserved or preferred. The accelerators are those of the step's
+    service on workers that accept new tasks; `headroom` of them are kept free for urgent work.
+    """
+
+    job_id: str
+    occurrence: int
+    step_index: int
+    reason: WaitReason
+    idle_ms: int
+    waiting: int
+    fitting: int
+    idle_accelerators: int
+    total_accelerators: int
+    headroom: int
+
+
 @dataclass(frozen=True)
 class Plan:
-    """The decisions of one pass; `blocked` counts ready steps with tasks that did not fit."""
+    """The decisions of one pass.
+
+    `blocked` counts ready steps with tasks that did not fit. `waits` explains the waits of those
+    whose job has had no run for a while.
+    """
 
     assignments: tuple[Assignment, ...] = ()
     preemptions: tuple[Preemption, ...] = ()
     blocked: int = 0
+    waits: tuple[Wait, ...] = ()
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -13,11 +13,13 @@
     Plan,
     Preemption,
     ReadyStep,
+    Wait,
     weighted_cores,
 )
 from hornbeamfold.scheduling.locality import candidate_groups
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import reserve
+from hornbeamfold.scheduling.waits import explain_wait
 
 # The maximum number of blocked steps with reserved capacity. With one, every large gang further
 # back would overtake a large gang near the head of the queue; with many, most of the capacity would
@@ -91,6 +93,7 @@
         self._assignments: list[Assignment] = []
         self._preemptions: list[Preemption] = []
         self._blocked = 0
+        self._waits: list[Wait] = []
         self._reserved_steps = 0
 
     @cached_property
@@ -103,7 +106,9 @@
 
     def result(self) -> Plan:
         """Return the decisions so far."""
-        return Plan(tuple(self._assignments), tuple(self._preemptions), self._blocked)
+        return Plan(
+            tuple(self._assignments), tuple(self._preemptions), self._blocked, tuple(self._waits)
+        )
 
     def place(self, step: ReadyStep) -> None:
         """Place the waiting tasks of a step, or preempt or reserve what they need."""
@@ -121,6 +126,9 @@
             return
         self._blocked += 1
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
+        wait = explain_wait(self._cluster, unplaced, headroom, max_tasks, self._now_ms)
+        if wait is not None:
+            self._waits.append(wait)
         if step.entitled or _may_preempt(step, self._now_ms):
             if self._wait_for_ends(unplaced, groups):
                 return
