Show that a job without a run waits beside idle workers

The bound is that of the users' page, 3 s with nothing running and room for it twice over, less 0.5 s to record and send a start.

--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -1,6 +1,7 @@
 """Tests for a planning pass."""
 
 import unittest
+from dataclasses import replace
 
 from scheduling_cases import CAPACITY, candidate, placed_run, ready, resources
 
@@ -122,6 +123,75 @@
         self.assertEqual(plan([step], busy, [], 2_100).assignments, ())
 
 
+class IdleJobTest(unittest.TestCase):
+    """A job that has had no run for 3 s starts if there is room for it twice over."""
+
+    # The rest of the 3 s is for recording and sending the start.
+    BOUND_MS = 2_500
+
+    def test_a_gang_for_one_rack_starts_in_time_where_it_fits(self) -> None:
+        """Guards against a gang that waits for twice its estimate beside 63 idle workers."""
+        workers = [
+            candidate(f"w{rack}-{index}", f"r{rack}", free=NOTHING if index == 0 else CAPACITY)
+            for rack in range(9)
+            for index in range(8)
+        ]
+        gang = Step(8, resources(8), estimate_ms=11_000, gang=True, one_rack=True)
+        step = ready("a", gang, idle_since_ms=0)
+        self.assertEqual(len(plan([step], workers, [], self.BOUND_MS).assignments), 8)
+
+    def test_a_task_starts_in_time_away_from_a_full_preferred_rack(self) -> None:
+        """Guards against tasks that wait for 0.8 of their estimate while other racks are idle."""
+        workers = [candidate("w1", "r1", free=NOTHING), candidate("w2", "r2")]
+        step = Step(4, resources(1), estimate_ms=11_000, preferred_rack="r1")
+        cases = [
+            # The others have a better chance to find room near their data while one runs.
+            ("batch", step, 1),
+            # Each task that runs until its job is cancelled is needed.
+            ("long-running", replace(step, long_running=True), 4),
+        ]
+        for name, each, expected in cases:
+            with self.subTest(name):
+                waiting = ready("a", each, idle_since_ms=0)
+                self.assertEqual(
+                    len(plan([waiting], workers, [], self.BOUND_MS).assignments), expected
+                )
+
+    def test_a_task_starts_in_time_on_room_that_is_kept_free(self) -> None:
+        """Guards against a job that never starts since room is kept for urgent work or a gang."""
+        step = ready("a", Step(2, resources(1), estimate_ms=11_000), idle_since_ms=0)
+        gang = ready("gang", Step(2, resources(8), gang=True), due_ms=5_000)
+        ending = placed_run("old", 0, "w1", CAPACITY, remaining_ms=5_000)
+        workers = [candidate("w1", free=NOTHING), candidate("w2")]
+        cases = [
+            ("headroom", [step], {"planner": 8}, 1),
+            ("reserved", [gang, step], {}, 1),
+            # Guaranteed work starts within the time in which its reservation lasts.
+            ("guaranteed", [replace(gang, entitled=True, due_ms=99_000), step], {}, 0),
+        ]
+        for name, steps, headroom, expected in cases:
+            with self.subTest(name):
+                run = ending if name != "guaranteed" else replace(ending, remaining_ms=600)
+                now = self.BOUND_MS
+                steps = [replace(each, ready_ms=now) if each.entitled else each for each in steps]
+                result = plan(steps, workers, [run], now, headroom)
+                self.assertEqual(len(result.assignments), expected)
+
+    def test_preferences_hold_without_room_twice_over_or_beside_a_run(self) -> None:
+        tight = [candidate("w1", "r1", free=NOTHING), candidate("w2", "r2", free=resources(1))]
+        roomy = [candidate("w1", "r1", free=NOTHING), candidate("w2", "r2")]
+        task = Step(1, resources(1), estimate_ms=11_000, preferred_rack="r1")
+        cases = [
+            ("room for one", tight, 0, self.BOUND_MS),
+            ("another run", roomy, None, self.BOUND_MS),
+            ("a short wait", roomy, self.BOUND_MS - 1_500, self.BOUND_MS),
+        ]
+        for name, workers, idle_since_ms, now_ms in cases:
+            with self.subTest(name):
+                step = ready("a", task, idle_since_ms=idle_since_ms)
+                self.assertEqual(plan([step], workers, [], now_ms).assignments, ())
+
+
 class HeadroomTest(unittest.TestCase):
     def test_non_urgent_work_leaves_headroom_for_urgent_work(self) -> None:
         wide = Step(16, resources(1), estimate_ms=1_000)
