Let a job without a run start where there is ample room, whatever it prefers

Cause: what a step waits for had no bound in time. A gang for one rack waited for twice its estimate, a task with a preferred rack for 0.8 of it, and the headroom for urgent work and the reservations of gangs for as long as they lasted. Change: once a job has had no run for 2 s and there is room for what it needs twice over, it starts where it fits. One task is enough for steps whose tasks don't need one another; the rest waits as before. Reservations for work that is about to start (guaranteed work, preemption) hold. Why it works: the bound is absolute and begins when the job is idle, so no estimate stretches it.

--- a/libs/coordinator/tests/load_replay.py
+++ b/libs/coordinator/tests/load_replay.py
@@ -37,9 +37,11 @@
     Assignment,
     CandidateWorker,
     Plan,
+    ReadyStep,
     plan,
     weighted_cores,
 )
+from hornbeamfold.scheduling.cluster import tasks_that_fit
 
 FOLDER = Path(__file__).parent / "recordings"
 # The interval between passes of a coordinator that is busy.
@@ -78,10 +80,15 @@
 
 @dataclass(frozen=True)
 class Result:
-    """The outcome of a replay; `lost_work` is what preemption threw away, in core-seconds."""
+    """The outcome of a replay; `lost_work` is what preemption threw away, in core-seconds.
+
+    `max_idle_beside_room_ms` is the longest time in which a job had no run although a step of it
+    was ready and there was room for it twice over.
+    """
 
     by_priority: Mapping[int, Outcome]
     max_guaranteed_wait_ms: int
+    max_idle_beside_room_ms: int
     lost_work: float
     preemptions: int
 
@@ -123,6 +130,8 @@
         self._ended_ms: dict[str, int] = {}
         self._waits_ms: dict[int, list[int]] = {}
         self._max_guaranteed_wait_ms = 0
+        self._idle_beside_room_since_ms: dict[tuple[str, int, int], int] = {}
+        self._max_idle_beside_room_ms = 0
         self._lost_work = 0.0
         self._preemptions = 0
         self._operator = OperatorState(
@@ -162,6 +171,7 @@
                 self._now_ms,
                 urgent_demand.headroom(),
             )
+            self._record_idle_beside_room(steps, candidates)
             entitled = {each.job.job_id for each in steps if each.entitled}
             self._carry_out(new_plan, entitled)
             self._now_ms += PASS_MS
@@ -182,6 +192,27 @@
             for worker_id, rack in self._racks.items()
         ]
 
+    def _record_idle_beside_room(
+        self, steps: Sequence[ReadyStep], candidates: Sequence[CandidateWorker]
+    ) -> None:
+        """Update how long jobs without a run have been beside room for them, before this pass."""
+        since_ms: dict[tuple[str, int, int], int] = {}
+        for step in steps:
+            if step.idle_since_ms is None:
+                continue
+            needed = len(step.waiting) if step.step.gang else 1
+            limit = step.step.max_per_worker or 2 * needed
+            demand = step.step.reserved
+            room = sum(tasks_that_fit(demand, each.free, limit) for each in candidates)
+            if room < 2 * needed:
+                continue
+            key = (step.job.job_id, step.occurrence, step.step_index)
+            since_ms[key] = self._idle_beside_room_since_ms.get(key, self._now_ms)
+            self._max_idle_beside_room_ms = max(
+                self._max_idle_beside_room_ms, self._now_ms - since_ms[key]
+            )
+        self._idle_beside_room_since_ms = since_ms
+
     def _advance(self) -> None:
         """End the runs that are due, and report the progress of the others."""
         for name, active in tuple(self._active.items()):
@@ -290,6 +321,7 @@
                 for priority, kinds in sorted(counts.items())
             },
             self._max_guaranteed_wait_ms,
+            self._max_idle_beside_room_ms,
             self._lost_work,
             self._preemptions,
         )
@@ -314,7 +346,8 @@
         )
     print(
         f"guaranteed work waited {result.max_guaranteed_wait_ms} ms at most; {result.preemptions}"
-        f" preemptions lost {result.lost_work:.0f} core-seconds"
+        f" preemptions lost {result.lost_work:.0f} core-seconds; a job was idle beside room for it"
+        f" for {result.max_idle_beside_room_ms} ms at most"
     )
 
 
--- a/libs/coordinator/tests/test_load_replay.py
+++ b/libs/coordinator/tests/test_load_replay.py
@@ -7,6 +7,8 @@
 
 # Urgent work starts within this time, by the size that the system is designed for.
 URGENT_START_MS = 1_400
+# A job runs within this time if there is room for it twice over; users count it as lost otherwise.
+MAX_IDLE_BESIDE_ROOM_MS = 3_000
 
 
 class LoadReplayTest(unittest.TestCase):
@@ -24,6 +26,7 @@
         result = replay(load("large-burst.json"))
         self.assertLessEqual(max(result.by_priority[0].waits_ms), URGENT_START_MS)
         self.assertLessEqual(result.max_guaranteed_wait_ms, URGENT_START_MS)
+        self.assertLessEqual(result.max_idle_beside_room_ms, MAX_IDLE_BESIDE_ROOM_MS)
         for priority, outcome in result.by_priority.items():
             with self.subTest(priority=priority):
                 self.assertEqual(outcome.expired, 0)
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -27,11 +27,16 @@
 
 @dataclass(frozen=True)
 class Reservation:
-    """Capacity on a worker that is reserved for a waiting step from `start_ms` on."""
+    """Capacity on a worker that is reserved for a waiting step from `start_ms` on.
+
+    A `firm` reservation is for work that is about to start there. A job without a run may use the
+    capacity of any other.
+    """
 
     worker_id: str
     resources: Resources
     start_ms: int
+    firm: bool = False
 
 
 @dataclass(frozen=True)
@@ -169,6 +174,14 @@
                 available = available - reservation.resources
         return available
 
+    def available_to_idle_job(self, worker_id: str) -> Resources:
+        """Return the resources of a worker that a job without a run may use for its first one."""
+        available = self._free[worker_id]
+        for reservation in self._reservations.get(worker_id, ()):
+            if reservation.firm:
+                available = available - reservation.resources
+        return available
+
 
 def is_eligible(step: ReadyStep, worker: CandidateWorker) -> bool:
     """Return whether the worker's service and labels allow the step, regardless of capacity."""
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -143,7 +143,7 @@
 class Plan:
     """The decisions of one pass.
 
-    `blocked` counts ready steps with tasks that did not fit. `waits` explains the waits of those
+    `blocked` counts ready steps with tasks that did not fit. `waits` explains the first of those
     whose job has had no run for a while.
     """
 
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -16,7 +16,7 @@
     Wait,
     weighted_cores,
 )
-from hornbeamfold.scheduling.locality import candidate_groups
+from hornbeamfold.scheduling.locality import ALL_RACKS, candidate_groups
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import reserve
 from hornbeamfold.scheduling.waits import explain_wait
@@ -36,6 +36,12 @@
 LAST_CHANCE_LOST_WORK_FACTOR = 4.0
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
+# Racks, headroom and reservations no longer hold back a job that has had no run for this long while
+# there is room for it several times over.
+MAX_IDLE_MS = 2_000
+IDLE_JOB_ROOM_FACTOR = 2
+# The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
+MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
 
 
@@ -116,9 +122,12 @@
         headroom = self._headroom.get(step.job.service, 0)
         max_tasks = _max_tasks(self._cluster, step, headroom, self._now_ms)
         chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
+        reason = "entitled" if step.entitled else "tightest fit"
+        if not chosen and step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
+            chosen = _place_idle_job(self._cluster, step, groups)
+            reason = "idle"
         for index, worker_id in zip(step.waiting, chosen, strict=False):
             self._cluster.allocate(worker_id, step.step.reserved)
-            reason = "entitled" if step.entitled else "tightest fit"
             self._assignments.append(
                 Assignment(step.job.job_id, step.ref(index), worker_id, reason)
             )
@@ -126,9 +135,10 @@
             return
         self._blocked += 1
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
-        wait = explain_wait(self._cluster, unplaced, headroom, max_tasks, self._now_ms)
-        if wait is not None:
-            self._waits.append(wait)
+        if not chosen and len(self._waits) < MAX_EXPLAINED_WAITS:
+            wait = explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms)
+            if wait is not None:
+                self._waits.append(wait)
         if step.entitled or _may_preempt(step, self._now_ms):
             if self._wait_for_ends(unplaced, groups):
                 return
@@ -137,7 +147,7 @@
                 return
         if not step.entitled and self._reserved_steps < MAX_RESERVATIONS and not chosen:
             self._reserved_steps += reserve(
-                self._cluster, step, groups, self._runs_by_end_time, self._now_ms, inf
+                self._cluster, step, groups, self._runs_by_end_time, self._now_ms, inf, firm=False
             )
 
     def _wait_for_ends(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
@@ -148,7 +158,13 @@
         if max_wait_ms <= 0:
             return False
         return reserve(
-            self._cluster, step, groups, self._runs_by_end_time, self._now_ms, max_wait_ms
+            self._cluster,
+            step,
+            groups,
+            self._runs_by_end_time,
+            self._now_ms,
+            max_wait_ms,
+            firm=True,
         )
 
     def _reclaim(
@@ -159,7 +175,9 @@
         if found is None:
             return False
         for worker_id in found.workers:
-            self._cluster.add_reservation(Reservation(worker_id, step.step.reserved, self._now_ms))
+            self._cluster.add_reservation(
+                Reservation(worker_id, step.step.reserved, self._now_ms, firm=True)
+            )
         self._preemptible_runs.mark_stopping(found.victims)
         self._preemptions.extend(
             Preemption(each.name, each.worker_id, step.job.job_id) for each in found.victims
@@ -218,3 +236,28 @@
         if len(chosen) > len(best) and not step.step.gang:
             best = chosen
     return best
+
+
+def _place_idle_job(
+    cluster: ClusterCapacity, step: ReadyStep, groups: Sequence[WorkerGroup]
+) -> list[str]:
+    """Return workers for a job without a run if there is ample room, whatever the step prefers.
+
+    One task is enough for a job to make progress; the others wait for room where they run faster.
+    The tasks of a gang need one another, and long-running tasks are each needed.
+    """
+    waiting = len(step.waiting)
+    needed = waiting if step.step.gang else 1
+    members = cluster.members_with_accelerators(step, ALL_RACKS)
+    available = cluster.available_to_idle_job
+    room = pack(cluster, step, IDLE_JOB_ROOM_FACTOR * needed, members, available)
+    if len(room) < IDLE_JOB_ROOM_FACTOR * needed:
+        return []
+    wanted = waiting if step.step.long_running else needed
+    for group in groups:
+        chosen = pack(
+            cluster, step, wanted, cluster.members_with_accelerators(step, group), available
+        )
+        if len(chosen) == wanted:
+            return chosen
+    return pack(cluster, step, wanted, members, available)
--- a/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
@@ -21,6 +21,7 @@
     by_end_time: Sequence[PlacedRun],
     now_ms: int,
     max_wait_ms: float,
+    firm: bool,
 ) -> bool:
     """Reserve capacity where all waiting tasks fit the earliest, as placed runs end.
 
@@ -36,7 +37,9 @@
         return False
     remaining_ms, chosen = best
     for worker_id in chosen:
-        cluster.add_reservation(Reservation(worker_id, step.step.reserved, now_ms + remaining_ms))
+        cluster.add_reservation(
+            Reservation(worker_id, step.step.reserved, now_ms + remaining_ms, firm)
+        )
     return True
 
 
