Let a job without a run use workers that its step avoids, if no others have room

What callers would see: a gang whose label few workers have never starts once members have failed on some of them, while these are idle (LOST). Found by reading for the same cause: a step avoids a worker for as long as its job lasts, and how many may be avoided is counted over all workers, also those without the label. Change: a job that has had no run for 2 s uses them if there is no ample room elsewhere. Exclusions of workers that fail everything end by themselves after 16 s at most and are left as they are: a run there would use up attempts. Measured: test_a_gang_starts_in_time_where_one_has_failed fails before (0 of 2 placed) and passes after.

--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -36,8 +36,8 @@
 LAST_CHANCE_LOST_WORK_FACTOR = 4.0
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
-# Racks, headroom and reservations no longer hold back a job that has had no run for this long while
-# there is room for it several times over.
+# Racks, headroom, reservations and workers to avoid no longer hold back a job that has had no run
+# for this long while there is room for it several times over.
 MAX_IDLE_MS = 2_000
 IDLE_JOB_ROOM_FACTOR = 2
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
@@ -243,6 +243,19 @@
 ) -> list[str]:
     """Return workers for a job without a run if there is ample room, whatever the step prefers.
 
+    Workers to avoid are used if there is no ample room on others.
+    """
+    chosen = _place_in_ample_room(cluster, step, groups)
+    if chosen or not step.avoid:
+        return chosen
+    return _place_in_ample_room(cluster, replace(step, avoid=frozenset()), groups)
+
+
+def _place_in_ample_room(
+    cluster: ClusterCapacity, step: ReadyStep, groups: Sequence[WorkerGroup]
+) -> list[str]:
+    """Return workers for what a job needs to make progress, or none if room is scarce.
+
     One task is enough for a job to make progress; the others wait for room where they run faster.
     The tasks of a gang need one another, and long-running tasks are each needed.
     """
--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -177,6 +177,18 @@
                 result = plan(steps, workers, [run], now, headroom)
                 self.assertEqual(len(result.assignments), expected)
 
+    def test_a_gang_starts_in_time_where_one_has_failed(self) -> None:
+        """Guards against a gang that never starts since too few workers have its label.
+
+        A step avoids the workers on which it failed for as long as its job lasts.
+        """
+        workers = [candidate(f"w{index}") for index in range(4)]
+        others = [candidate(f"x{index}", labels=frozenset()) for index in range(8)]
+        gang = Step(2, resources(8), estimate_ms=11_000, gang=True, required_label="a")
+        step = ready("a", gang, idle_since_ms=0, avoid=frozenset({"w0", "w1", "w2"}))
+        result = plan([step], [*workers, *others], [], self.BOUND_MS)
+        self.assertEqual(len(result.assignments), 2)
+
     def test_preferences_hold_without_room_twice_over_or_beside_a_run(self) -> None:
         tight = [candidate("w1", "r1", free=NOTHING), candidate("w2", "r2", free=resources(1))]
         roomy = [candidate("w1", "r1", free=NOTHING), candidate("w2", "r2")]
