Record the crashes of workers under a task in its progress

A run that was lost with its worker left no trace in the record, so a task that crashes its workers would be started for ever, also across takeovers.

The progress record gets an optional list of the crashes of tasks that are not done; rows of the other lists stay as they are, so records decode in the previous version and old records decode here. Nothing counts crashes yet.

--- a/libs/batch/src/hornbeamfold/batch/progress.py
+++ b/libs/batch/src/hornbeamfold/batch/progress.py
@@ -32,7 +32,8 @@
 class TaskProgress:
     """The phase of a task and its latest run; `run` is 0 before the first one.
 
-    `worker_id` and `born_ms` identify the worker of an active run.
+    `worker_id` and `born_ms` identify the worker of an active run. `crashes` counts the crashes of
+    workers under runs of the task.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -41,6 +42,7 @@
     born_ms: int = 0
     failures: int = 0
     checkpoint: str = ""
+    crashes: int = 0
 
 
 NOT_STARTED = TaskProgress()
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import MISSING, dataclass, field, fields, is_dataclass
+from dataclasses import MISSING, dataclass, field, fields, is_dataclass, replace
 from typing import Any
 
 import msgspec
@@ -43,13 +43,16 @@
 
     Rows of `done`: occurrence, step and the indexes of all its completed tasks. Rows of `active`:
     occurrence, step, index, run, worker id, `born_ms` of the worker's incarnation, failures and
-    checkpoint. Rows of `waiting`: the same without the worker id and `born_ms`.
+    checkpoint. Rows of `waiting`: the same without the worker id and `born_ms`. Rows of `crashes`:
+    occurrence, step, index and the number of crashes of the active and waiting tasks that have any.
+    Decoders that do not know `crashes` ignore it.
     """
 
     state: JobState
     done: list[tuple[int, int, list[int]]] = field(default_factory=list)
     active: list[tuple[int, int, int, int, str, int, int, str]] = field(default_factory=list)
     waiting: list[tuple[int, int, int, int, int, str]] = field(default_factory=list)
+    crashes: list[tuple[int, int, int, int]] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -111,10 +114,13 @@
     done: dict[tuple[int, int], list[int]] = {}
     active: list[tuple[Any, ...]] = []
     waiting: list[tuple[Any, ...]] = []
+    crashes: list[tuple[Any, ...]] = []
     for ref, task in tasks:
         if task.phase is TaskPhase.DONE:
             done.setdefault((ref.occurrence, ref.step), []).append(ref.index)
             continue
+        if task.crashes:
+            crashes.append((*ref, task.crashes))
         if task.phase is TaskPhase.ACTIVE:
             active.append(
                 (*ref, task.run, task.worker_id, task.born_ms, task.failures, task.checkpoint)
@@ -125,6 +131,7 @@
         "done": [(*key, indexes) for key, indexes in done.items()],
         "active": active,
         "waiting": waiting,
+        "crashes": crashes,
     }
     return {name: listed for name, listed in rows.items() if listed}
 
@@ -144,6 +151,10 @@
         tasks[TaskRef(occurrence, step, index)] = TaskProgress(
             TaskPhase.WAITING, run, "", 0, failures, checkpoint
         )
+    for occurrence, step, index, crashes in document.crashes:
+        ref = TaskRef(occurrence, step, index)
+        if ref in tasks:
+            tasks[ref] = replace(tasks[ref], crashes=crashes)
     return JobProgress(document.state, tasks)
 
 
--- a/libs/ledger/tests/test_codec.py
+++ b/libs/ledger/tests/test_codec.py
@@ -1,6 +1,9 @@
 """Tests of the record codec."""
 
 import unittest
+from dataclasses import dataclass, field
+
+import msgspec
 
 from hornbeamfold.batch import (
     BatchJob,
@@ -21,6 +24,24 @@
 JOB = BatchJob("a", "q", "s", "o", "body", STEPS, 1, 2, 1.5, 300, 12, 3, 4, 5)
 
 
+DONE = TaskProgress(TaskPhase.DONE)
+CRASHED = {
+    TaskRef(0, 0, 0): TaskProgress(TaskPhase.ACTIVE, 2, "w1", 77, 1, "c", crashes=2),
+    TaskRef(0, 0, 1): TaskProgress(TaskPhase.WAITING, 4, failures=2, checkpoint="d", crashes=3),
+    TaskRef(1, 0, 0): TaskProgress(TaskPhase.WAITING, 1),
+}
+
+
+@dataclass(frozen=True)
+class ProgressWithoutCrashes:
+    """The document of a progress record before crashes were counted."""
+
+    state: JobState
+    done: list[tuple[int, int, list[int]]] = field(default_factory=list)
+    active: list[tuple[int, int, int, int, str, int, int, str]] = field(default_factory=list)
+    waiting: list[tuple[int, int, int, int, int, str]] = field(default_factory=list)
+
+
 class CodecTest(unittest.TestCase):
     def test_jobs_round_trip(self) -> None:
         self.assertEqual(decode_job(encode_job(JOB).value), JOB)
@@ -40,6 +61,29 @@
         decoded = decode_progress(value)
         self.assertEqual((decoded.state, dict(decoded.tasks)), (JobState.RUNNING, tasks))
 
+    def test_crashes_outlive_a_takeover(self) -> None:
+        """Guards against a task that crashes its workers and is started for ever."""
+        value = encode_progress("a", JobState.RUNNING, CRASHED).value
+        self.assertEqual(dict(decode_progress(value).tasks), CRASHED)
+
+    def test_records_with_crashes_decode_in_the_previous_version(self) -> None:
+        """Guards against an instance of the previous version that cannot take over."""
+        value = encode_progress("a", JobState.RUNNING, CRASHED).value
+        document = msgspec.json.decode(value, type=ProgressWithoutCrashes)
+        self.assertEqual(document.active, [(0, 0, 0, 2, "w1", 77, 1, "c")])
+        self.assertEqual(document.waiting, [(0, 0, 1, 4, 2, "d"), (1, 0, 0, 1, 0, "")])
+
+    def test_records_of_the_previous_version_decode(self) -> None:
+        old = ProgressWithoutCrashes(JobState.RUNNING, waiting=[(0, 0, 1, 4, 2, "d")])
+        decoded = decode_progress(msgspec.json.encode(old))
+        expected = TaskProgress(TaskPhase.WAITING, 4, failures=2, checkpoint="d")
+        self.assertEqual(dict(decoded.tasks), {TaskRef(0, 0, 1): expected})
+
+    def test_crashes_of_done_tasks_are_not_kept(self) -> None:
+        done = {TaskRef(0, 0, 0): TaskProgress(TaskPhase.DONE, crashes=1)}
+        value = encode_progress("a", JobState.RUNNING, done).value
+        self.assertEqual(dict(decode_progress(value).tasks), {TaskRef(0, 0, 0): DONE})
+
     def test_a_finished_job_keeps_only_its_state(self) -> None:
         done = {TaskRef(0, 0, 0): TaskProgress(TaskPhase.DONE)}
         value = encode_progress("a", JobState.COMPLETED, done).value
