Give up a task under which workers crash again and again

What callers saw: a task that crashes each worker that starts it was started for ever, with all work of its neighbours lost each time. A run that ends with its worker was LOST, which counts as no attempt, and nothing remembered it, so a takeover of the coordinator changed nothing either.

A run whose order was sent (or that a former coordinator recorded) and whose worker's incarnation is gone now ends as WORKER_CRASHED, and its task's crashes are recorded before the next start. The incarnation is gone if another one reports without the run, if another worker answers at the address, or if the lease has expired and the worker is unregistered or its host refuses connections. A worker that announced that it leaves, one that is only cut off and an order that was not sent are no crashes; those runs stay LOST.

Each run on the worker is a suspect. The job fails at three crashes if the run (or its gang) was alone on the worker in the last, and at four in company. Runs are ended one by one, so a run remembers that its company has crashed. A long-running task that has run for 60 s is cleared.

--- a/libs/batch/src/hornbeamfold/batch/workers.py
+++ b/libs/batch/src/hornbeamfold/batch/workers.py
@@ -33,6 +33,7 @@
     PEER_ENDED = "peer_ended"  # another member of the gang ended
     PEERS_MISSING = "peers_missing"  # other members of the gang did not start in time
     LOST = "lost"  # the worker is lost or never had the run
+    WORKER_CRASHED = "worker_crashed"  # the worker crashed and may have had the run
 
 
 @dataclass(frozen=True, order=True)
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -33,8 +33,13 @@
     `moved_ms` is when its progress last changed. `from_percent` is its progress at `begun_ms`. If
     the run began under an earlier coordinator or from a checkpoint, it is None until the first
     report, and from then on `begun_ms` is the time of that report. `gang_done_ms` is when the end
-    of another member showed that the gang is done, so that this run ends without a stop order. All
-    times are on the coordinator's clock.
+    of another member showed that the gang is done, so that this run ends without a stop order.
+    `listed_ms` is when its worker last reported it as running. All these times are on the
+    coordinator's clock.
+
+    `incarnation` is the birth (Unix time) of the worker's incarnation that last listed the run or
+    was sent its start order, or None if the order was not sent. `company_crashed` is set when that
+    incarnation crashed and another run on it has ended because of that.
     """
 
     name: RunName
@@ -48,6 +53,14 @@
     checkpoint: str = ""
     from_percent: float | None = 0.0
     gang_done_ms: int | None = None
+    listed_ms: int | None = None
+    incarnation: int | None = None
+    company_crashed: bool = False
+
+    @property
+    def listed_for_ms(self) -> int:
+        """How long the run is known to have been running."""
+        return 0 if self.listed_ms is None else self.listed_ms - self.begun_ms
 
     def projected_ms(self, now_ms: int, min_percent: float) -> float | None:
         """Return the projected duration of the run at its rate of progress.
@@ -122,6 +135,8 @@
                     moved_ms=now,
                     checkpoint=task.checkpoint,
                     from_percent=None,
+                    # The order may have been sent.
+                    incarnation=task.born_ms or None,
                 )
             )
 
@@ -216,7 +231,17 @@
             percent=task.percent,
             moved_ms=now if progressed else run.moved_ms,
             checkpoint=task.checkpoint or run.checkpoint,
+            listed_ms=now,
         )
+        tracked = self._jobs.get(task.name.job_id)
+        if tracked is not None and tracked.clear_crashes(task.name, now - run.begun_ms):
+            self._changed.add(task.name.job_id)
+
+    def set_incarnation(self, name: RunName, born_ms: int) -> None:
+        """Record which incarnation of its worker lists a run or is sent its start order."""
+        run = self._runs.get(name)
+        if run is not None and run.incarnation != born_ms:
+            self._runs[name] = replace(run, incarnation=born_ms)
 
     def request_stop(self, name: RunName, reason: str) -> Run | None:
         """Mark a run to be stopped; return it, or None if it has ended or was marked before."""
@@ -232,6 +257,8 @@
         if run is None:
             return ()
         tracked = self._jobs.get(name.job_id)
+        if end is RunEnd.WORKER_CRASHED:
+            self._attribute_crash(run, tracked)
         _ends(1, end=end.value)
         logger.info(
             "run_ended",
@@ -263,6 +290,36 @@
             return ()
         return self._remaining_gang_members(tracked, name)
 
+    def _attribute_crash(self, run: Run, tracked: TrackedJob | None) -> None:
+        """Count a crash of its worker for the task of a removed run.
+
+        Any run on the worker may have caused it, so all are counted. Members of a gang are no
+        company for each other.
+        """
+        gang_key = (run.name.job_id, run.name.task[:2]) if self.is_gang_member(run.name) else None
+        alone = not run.company_crashed
+        for other in self.runs_on(run.worker_id):
+            if other.incarnation != run.incarnation:
+                continue
+            if (other.name.job_id, other.name.task[:2]) == gang_key:
+                continue
+            alone = False
+            self._runs[other.name] = replace(other, company_crashed=True)
+        if tracked is None or not tracked.add_crash(run.name, alone, run.listed_for_ms):
+            return
+        crashes = tracked.task(run.name.task).crashes
+        extra = {
+            "request": run.name.job_id,
+            "task": list(run.name.task),
+            "run": run.name.run,
+            "worker": run.worker_id,
+            "alone": alone,
+            "crashes": crashes,
+        }
+        logger.warning("worker_crashed_under_run", extra=extra)
+        if tracked.ended:
+            logger.warning("task_given_up", extra=extra)
+
     def _mark_gang_done(self, tracked: TrackedJob, name: RunName) -> None:
         now = self._clock()
         for other in self._remaining_gang_members(tracked, name):
--- a/libs/coordinator/src/hornbeamfold/coordinator/orders.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/orders.py
@@ -49,6 +49,7 @@
     on_fenced: Callable[[str], None]
     is_active_run: Callable[[RunName], bool]  # whether the run is tracked and has not ended
     may_start: Callable[[Run, Worker], bool]  # whether the run may still start when it is sent
+    on_sent: Callable[[RunName, int], None]  # a start order is sent to the incarnation born then
 
 
 @dataclass(frozen=True)
@@ -154,14 +155,19 @@
         A retry is safe, as a worker that already has the run accepts its order again.
         """
         attempts = 1
-        outcome = self._port.start(self._link.worker(), order)
+        outcome = self._send_start_once(run, order)
         while isinstance(outcome, NoAnswer) and attempts < MAX_START_ATTEMPTS:
             if self._clock() >= until_ms or not self._hooks.may_start(run, self._link.worker()):
                 break
             attempts += 1
-            outcome = self._port.start(self._link.worker(), order)
+            outcome = self._send_start_once(run, order)
         return outcome, attempts
 
+    def _send_start_once(self, run: Run, order: StartOrder) -> OrderOutcome:
+        worker = self._link.worker()
+        self._hooks.on_sent(run.name, worker.born_ms)
+        return self._port.start(worker, order)
+
     def stop(self, run: Run) -> None:
         """Send a stop order in the background until it is answered."""
         self._spawn(lambda: self._stop_until_answered(run, run.stop_reason))
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from enum import StrEnum
 
 import eventlet
 from eventlet.event import Event
@@ -50,6 +51,14 @@
 CLOCK_MARGIN_MS = 300
 
 
+class RunsLost(StrEnum):
+    """Why all runs on a worker are certainly over."""
+
+    ANOTHER_ANSWERS = "another incarnation answers"
+    LEASE_EXPIRED = "lease expired"
+    LEFT = "left"
+
+
 def lease_ms(bounds: Bounds) -> int:
     """Return for how long a renewal extends a worker's lease."""
     return min(bounds.lease_max_ms, MAX_LEASE_MS)
@@ -69,7 +78,7 @@
     busy_wait_ms: Callable[[], int]  # how long a renewal waits at a worker that has runs
     on_report: Callable[["Session", LeaseReport, int], None]
     on_ended: Callable[["Session", tuple[EndedTask, ...]], None]
-    on_runs_lost: Callable[["Session", str], None]  # all runs on the worker are certainly over
+    on_runs_lost: Callable[["Session", RunsLost], None]
     after_store: Callable[[Callable[[], None]], None]
 
 
@@ -106,6 +115,10 @@
         )
         self._orders = Orders(link, token, port, hooks.orders, bounds, clock)
         self._disconnected = False
+        self._refusals = 0
+        # The incarnations that announced that they leave, by their birth.
+        self._drained: set[int] = set()
+        self._note_drain(worker)
         self._has_running_tasks = False
         self._incarnation_known_ms = clock()
 
@@ -147,6 +160,7 @@
     def update(self, worker: Worker) -> None:
         """Update the worker from its entry in the platform's registry."""
         self._registered = True
+        self._note_drain(worker)
         if worker.born_ms > self._worker.born_ms:
             self._on_new_incarnation(worker)
             return
@@ -161,6 +175,25 @@
         """End the session."""
         self._closed = True
 
+    def has_crashed(self, born_ms: int, lost: RunsLost | None = None) -> bool:
+        """Return whether the incarnation born at `born_ms` is known to have crashed.
+
+        `lost` is why the runs on the worker are over, or None after a report. A worker that is only
+        cut off may outlive its lease, so the expiry alone is no evidence of a crash.
+        """
+        if born_ms in self._drained:
+            return False
+        if born_ms != self._worker.born_ms:
+            # The entry in the registry may be older than an incarnation that has not reported.
+            return self._reported_ms is not None or born_ms < self._worker.born_ms
+        if lost is RunsLost.LEASE_EXPIRED:
+            return not self._registered or self._refusals > 0
+        return lost is RunsLost.ANOTHER_ANSWERS
+
+    def _note_drain(self, worker: Worker) -> None:
+        if worker.draining:
+            self._drained.add(worker.born_ms)
+
     def _on_new_incarnation(self, worker: Worker) -> None:
         logger.info(
             "worker_reborn",
@@ -180,7 +213,6 @@
 
     def run(self) -> None:
         """Renew the lease until the session is closed or the coordinator is replaced."""
-        refusals = 0
         while self._hooks.orders.is_active() and not self._closed:
             sent_ms = self._clock()
             # The first renewal does not wait, as nothing may start before the worker's runs are
@@ -199,13 +231,13 @@
                 return
             match outcome:
                 case LeaseReport():
-                    refusals = 0
+                    self._refusals = 0
                     self._on_report(outcome, sent_ms)
                 case Refused(Refusal.FENCED):
                     self._hooks.orders.on_fenced(f"worker {self._worker.worker_id}")
                     return
                 case Refused(Refusal.GONE):
-                    self._hooks.on_runs_lost(self, "another incarnation answers")
+                    self._hooks.on_runs_lost(self, RunsLost.ANOTHER_ANSWERS)
                     self._note_disconnected("gone")
                     eventlet.sleep(RETRY_MS / 1_000)
                 case Refused(reason, _):
@@ -213,11 +245,11 @@
                     eventlet.sleep(RETRY_MS / 1_000)
                 case NoAnswer(reason, connection_refused):
                     self._note_disconnected(reason)
-                    refusals = refusals + 1 if connection_refused else 0
+                    self._refusals = self._refusals + 1 if connection_refused else 0
                     if self._clock() > self._lease_until_ms:
-                        self._hooks.on_runs_lost(self, "lease expired")
-                    elif self._worker.draining and refusals >= REFUSALS_OF_A_LEFT_WORKER:
-                        self._hooks.on_runs_lost(self, "left")
+                        self._hooks.on_runs_lost(self, RunsLost.LEASE_EXPIRED)
+                    elif self._worker.draining and self._refusals >= REFUSALS_OF_A_LEFT_WORKER:
+                        self._hooks.on_runs_lost(self, RunsLost.LEFT)
                     eventlet.sleep(RETRY_MS / 1_000)
 
     def _note_disconnected(self, reason: str) -> None:
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -32,6 +32,7 @@
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
     MIN_CLOCK_RATE,
+    RunsLost,
     Session,
     SessionHooks,
     busy_renewal_wait_ms,
@@ -143,6 +144,7 @@
             on_fenced=self.step_down,
             is_active_run=lambda name: name in self._tracker.runs,
             may_start=self._starter.may_start,
+            on_sent=self._tracker.set_incarnation,
         )
         self._hooks = SessionHooks(
             orders=orders,
@@ -282,8 +284,10 @@
         if self._deps.clock() < self._orphan_deadline_ms:
             return
         for run in tuple(self._tracker.runs.values()):
-            if run.worker_id not in self._sessions:
-                self._end_run(run.name, RunEnd.LOST)
+            if run.worker_id in self._sessions:
+                continue
+            crashed = run.incarnation is not None and self._registry_is_current()
+            self._end_run(run.name, RunEnd.WORKER_CRASHED if crashed else RunEnd.LOST)
 
     def _on_report(self, session: Session, report: LeaseReport, sent_ms: int) -> None:
         """Reconcile the runs that a worker reports with the job tracker."""
@@ -298,6 +302,7 @@
                 session.orders.stop_unknown_run(task.name)
                 continue
             self._tracker.settle(task.name)
+            self._tracker.set_incarnation(task.name, worker.born_ms)
             self._tracker.update_progress(task)
             if run.gang_done_ms is not None and sent_ms > run.gang_done_ms + GANG_END_MS:
                 self._stop_all((run.name,), "gang is done")
@@ -308,7 +313,7 @@
                 if run.stop_reason and run.name in reported:
                     session.orders.stop(run)
                 continue
-            self._end_run(run.name, RunEnd.LOST)
+            self._end_lost_run(session, run)
         self._stop_stragglers(worker.worker_id)
         for leaving in runs_outlasting_drain(
             self._tracker, self._tracker.runs_on(worker.worker_id), worker, self._deps.clock()
@@ -343,24 +348,28 @@
     def _on_not_started(self, run: Run, reason: Refusal) -> None:
         if reason in (Refusal.UNHEALTHY, Refusal.UNREACHABLE):
             self._health.exclude(run.worker_id, reason.value)
-        if reason is Refusal.GONE and (session := self._sessions.get(run.worker_id)):
-            self._on_runs_lost(session, "another incarnation answers")
-            return
         self._end_run(run.name, RunEnd.LOST)
+        if reason is Refusal.GONE and (session := self._sessions.get(run.worker_id)):
+            self._on_runs_lost(session, RunsLost.ANOTHER_ANSWERS)
 
-    def _on_runs_lost(self, session: Session, reason: str) -> None:
+    def _on_runs_lost(self, session: Session, reason: RunsLost) -> None:
         runs = self._tracker.runs_on(session.worker.worker_id)
         if runs:
             logger.warning(
                 "runs_lost",
                 extra={
                     "worker": session.worker.worker_id,
-                    "reason": reason,
+                    "reason": reason.value,
                     "requests": sorted({run.name.job_id for run in runs}),
                 },
             )
         for run in runs:
-            self._end_run(run.name, RunEnd.LOST)
+            self._end_lost_run(session, run, reason)
+
+    def _end_lost_run(self, session: Session, run: Run, lost: RunsLost | None = None) -> None:
+        """End a run that its worker no longer has and whose end was not reported."""
+        crashed = run.incarnation is not None and session.has_crashed(run.incarnation, lost)
+        self._end_run(run.name, RunEnd.WORKER_CRASHED if crashed else RunEnd.LOST)
 
     def _end_run(self, name: RunName, end: RunEnd, checkpoint: str = "") -> None:
         self._stop_all(self._tracker.end_run(name, end, checkpoint), "job ended or gang broken")
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -16,6 +16,13 @@
     TaskRef,
 )
 
+# A task that crashes its workers fails its job after this many crashes if its run was alone on the
+# worker in the last, and otherwise after the second number of crashes.
+MAX_CRASHES_ALONE = 3
+MAX_CRASHES = 4
+# A long-running task sees many workers crash. A run that has lasted for this long clears its task.
+CLEARING_RUN_MS = 60_000
+
 
 class TrackedJob:
     """The progress of a job that has not ended."""
@@ -138,11 +145,46 @@
             return (ref,)
         return tuple(TaskRef(ref.occurrence, ref.step, index) for index in range(step.count))
 
+    def is_current(self, name: RunName) -> bool:
+        """Return whether a run is the active run of its task."""
+        task = self.task(name.task)
+        return task.phase is TaskPhase.ACTIVE and task.run == name.run
+
+    def add_crash(self, name: RunName, alone: bool, ran_ms: int) -> bool:
+        """Count a crash of the worker of a run, and fail the job after too many of them.
+
+        `alone` says that the run, or its gang, was the only one on the worker. Returns False if the
+        run is not the task's current run.
+        """
+        if not self.is_current(name):
+            return False
+        if self._job.steps[name.task.step].long_running and ran_ms >= CLEARING_RUN_MS:
+            self._set_crashes(name.task, 0)
+            return True
+        crashes = self.task(name.task).crashes + 1
+        self._set_crashes(name.task, crashes)
+        if crashes >= (MAX_CRASHES_ALONE if alone else MAX_CRASHES) and not self.ended:
+            self._state = JobState.FAILED
+        return True
+
+    def clear_crashes(self, name: RunName, ran_ms: int) -> bool:
+        """Clear the crashes of a long-running task that has run for long; return any change."""
+        task = self.task(name.task)
+        if not task.crashes or ran_ms < CLEARING_RUN_MS or not self.is_current(name):
+            return False
+        if not self._job.steps[name.task.step].long_running:
+            return False
+        self._set_crashes(name.task, 0)
+        return True
+
+    def _set_crashes(self, ref: TaskRef, crashes: int) -> None:
+        self._tasks[ref] = replace(self.task(ref), crashes=crashes)
+
     def finish(self, name: RunName, end: RunEnd, checkpoint: str) -> bool:
         """Record the end of a run; return False if it is not the task's current run."""
         ref = name.task
         task = self.task(ref)
-        if task.phase is not TaskPhase.ACTIVE or task.run != name.run:
+        if not self.is_current(name):
             return False
         if end is RunEnd.DONE and not self._job.steps[ref.step].long_running:
             for member in self.gang_refs(ref):
@@ -159,7 +201,7 @@
         task = self.task(ref)
         if task.phase is TaskPhase.DONE:
             return
-        self._tasks[ref] = replace(task, phase=TaskPhase.DONE, checkpoint="")
+        self._tasks[ref] = replace(task, phase=TaskPhase.DONE, checkpoint="", crashes=0)
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
         self._done_counts[ref.occurrence, ref.step] += 1
         self._unfinished_tasks -= 1
--- a/libs/coordinator/tests/test_job_tracker.py
+++ b/libs/coordinator/tests/test_job_tracker.py
@@ -9,12 +9,15 @@
     JobState,
     Resources,
     RunEnd,
+    RunName,
+    RunningTask,
     Step,
     TaskPhase,
     TaskProgress,
     TaskRef,
 )
 from hornbeamfold.coordinator.job_tracker import JobTracker
+from hornbeamfold.coordinator.tracked import CLEARING_RUN_MS, MAX_CRASHES, MAX_CRASHES_ALONE
 from hornbeamfold.model import invariant_violations
 
 SMALL = Resources(1_000, 1_000, 1)
@@ -144,5 +147,143 @@
         self.assertIsNotNone(run.settled_ms)
 
 
+class CrashTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.born_ms = 1
+
+    def begin(self, tracker: JobTracker, job_id: str, *refs: TaskRef) -> list[RunName]:
+        """Begin runs on one worker, whose present incarnation gets the start orders."""
+        begun = tracker.begin_runs(job_id, refs, [worker(born_ms=self.born_ms) for _ in refs])
+        for run in begun:
+            tracker.set_incarnation(run.name, self.born_ms)
+        return [run.name for run in begun]
+
+    def crash(self, tracker: JobTracker) -> None:
+        """End all runs on the worker and let it begin again."""
+        for run in tracker.runs_on("w1"):
+            tracker.end_run(run.name, RunEnd.WORKER_CRASHED)
+        self.born_ms += 1
+
+    def test_a_job_fails_when_its_task_alone_crashes_three_workers(self) -> None:
+        """Guards against starting a task for ever that crashes each worker that starts it."""
+        tracker = tracker_with(self.clock, job("a", Step(1, SMALL)))
+        for crashes in range(1, MAX_CRASHES_ALONE + 1):
+            self.assertIn("a", tracker.jobs)
+            self.begin(tracker, "a", FIRST)
+            tracked = tracker.jobs["a"]
+            self.crash(tracker)
+            self.assertEqual(tracked.task(FIRST).crashes, crashes)
+        self.assertEqual(tracker.recorded_progress("a")[0], JobState.FAILED)
+
+    def test_the_other_runs_of_a_job_that_is_given_up_are_stopped(self) -> None:
+        crashed = TaskProgress(run=2, crashes=MAX_CRASHES_ALONE - 1)
+        tracker = JobTracker(self.clock)
+        tracker.add(job("a"), JobProgress(JobState.RUNNING, {FIRST: crashed}))
+        (other,) = tracker.begin_runs("a", [SECOND], [worker("w2")])
+        (name,) = self.begin(tracker, "a", FIRST)
+        self.assertEqual(tracker.end_run(name, RunEnd.WORKER_CRASHED), (other.name,))
+
+    def test_in_company_a_job_fails_after_one_more_crash(self) -> None:
+        """Guards against giving up a job because of its neighbour on the worker."""
+        tracker = tracker_with(self.clock, job("a", Step(1, SMALL)), job("b", Step(1, SMALL)))
+        for crashes in range(1, MAX_CRASHES + 1):
+            self.assertEqual(set(tracker.jobs), {"a", "b"}, crashes)
+            self.begin(tracker, "a", FIRST)
+            self.begin(tracker, "b", FIRST)
+            self.crash(tracker)
+        self.assertEqual(tracker.recorded_progress("a")[0], JobState.FAILED)
+
+    def test_a_run_is_in_company_although_the_other_run_was_ended_first(self) -> None:
+        """Guards against giving up the run of a lost worker that is ended last."""
+        for order in ((0, 1), (1, 0)):
+            with self.subTest(order):
+                crashed = TaskProgress(run=2, crashes=MAX_CRASHES_ALONE - 1)
+                tracker = JobTracker(self.clock)
+                for job_id in ("a", "b"):
+                    progress = JobProgress(JobState.RUNNING, {FIRST: crashed})
+                    tracker.add(job(job_id, Step(1, SMALL)), progress)
+                names = [*self.begin(tracker, "a", FIRST), *self.begin(tracker, "b", FIRST)]
+                for index in order:
+                    tracker.end_run(names[index], RunEnd.WORKER_CRASHED)
+                self.assertEqual(set(tracker.jobs), {"a", "b"})
+
+    def test_runs_of_the_next_incarnation_are_no_company(self) -> None:
+        crashed = TaskProgress(run=2, crashes=MAX_CRASHES_ALONE - 1)
+        tracker = JobTracker(self.clock)
+        tracker.add(job("a", Step(1, SMALL)), JobProgress(JobState.RUNNING, {FIRST: crashed}))
+        tracker.add(job("b", Step(2, SMALL)), JobProgress())
+        (name,) = self.begin(tracker, "a", FIRST)
+        self.born_ms += 1
+        self.begin(tracker, "b", FIRST)
+        # The order of this run was not sent.
+        tracker.begin_runs("b", [SECOND], [worker(born_ms=1)])
+        tracker.end_run(name, RunEnd.WORKER_CRASHED)
+        self.assertEqual(tracker.recorded_progress("a")[0], JobState.FAILED)
+
+    def test_members_of_a_gang_are_no_company_for_each_other(self) -> None:
+        """Guards against a gang that is started once more than a single task."""
+        tracker = tracker_with(self.clock, job("a", Step(2, SMALL, gang=True)))
+        for _ in range(MAX_CRASHES_ALONE):
+            self.assertIn("a", tracker.jobs)
+            self.begin(tracker, "a", FIRST, SECOND)
+            self.crash(tracker)
+        self.assertEqual(tracker.recorded_progress("a")[0], JobState.FAILED)
+
+    def test_other_ends_are_no_crashes(self) -> None:
+        for end in set(RunEnd) - {RunEnd.WORKER_CRASHED, RunEnd.DONE}:
+            with self.subTest(end):
+                tracker = tracker_with(self.clock, job("a"))
+                (name,) = self.begin(tracker, "a", FIRST)
+                tracker.end_run(name, end)
+                self.assertEqual(tracker.jobs["a"].task(FIRST).crashes, 0)
+
+    def test_a_long_running_task_that_has_run_for_long_is_cleared(self) -> None:
+        """Guards against giving up a task that lasts for days and sees many workers crash."""
+        cases = [
+            ("long-running, at once", True, 0, 3),
+            ("long-running, soon", True, CLEARING_RUN_MS - 1, 3),
+            ("long-running", True, CLEARING_RUN_MS, 0),
+            ("a batch task", False, CLEARING_RUN_MS, 3),
+        ]
+        for name, long_running, ran_ms, crashes in cases:
+            with self.subTest(name):
+                tracker = JobTracker(self.clock)
+                tracked = job("a", Step(1, SMALL, long_running=long_running))
+                crashed = TaskProgress(run=2, crashes=2)
+                tracker.add(tracked, JobProgress(JobState.RUNNING, {FIRST: crashed}))
+                progress = tracker.jobs["a"]
+                (run,) = self.begin(tracker, "a", FIRST)
+                self.clock.move(ran_ms)
+                tracker.update_progress(RunningTask(run, "", 50.0))
+                # The time in which the worker did not answer does not count.
+                self.clock.move(CLEARING_RUN_MS)
+                self.crash(tracker)
+                self.assertEqual(progress.task(FIRST).crashes, crashes)
+
+    def test_a_long_running_task_is_cleared_while_it_runs(self) -> None:
+        """Guards against a task that has a worker for itself as long as it lasts."""
+        tracker = JobTracker(self.clock)
+        crashed = TaskProgress(run=2, crashes=2)
+        lasting = job("a", Step(1, SMALL, long_running=True))
+        tracker.add(lasting, JobProgress(JobState.RUNNING, {FIRST: crashed}))
+        (run,) = self.begin(tracker, "a", FIRST)
+        tracker.pop_changed()
+        self.clock.move(CLEARING_RUN_MS)
+        tracker.update_progress(RunningTask(run, "", 50.0))
+        self.assertEqual(tracker.jobs["a"].task(FIRST).crashes, 0)
+        self.assertEqual(tracker.pop_changed(), {"a"})
+
+    def test_crashes_are_counted_under_the_next_coordinator(self) -> None:
+        """Guards against a task that is started for ever because coordinators change."""
+        tracker = JobTracker(self.clock)
+        active = TaskProgress(TaskPhase.ACTIVE, 3, "w1", 5, crashes=1)
+        tracker.add(job("a"), JobProgress(JobState.RUNNING, {FIRST: active}))
+        (run,) = tracker.runs_on("w1")
+        self.assertEqual(run.incarnation, 5)
+        tracker.end_run(run.name, RunEnd.WORKER_CRASHED)
+        self.assertEqual(tracker.recorded_progress("a")[1][FIRST].crashes, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -23,6 +23,7 @@
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
     MIN_CLOCK_RATE,
+    RunsLost,
     Session,
     busy_renewal_wait_ms,
 )
@@ -253,6 +254,59 @@
         worker_session.run()
         return calls.named("runs lost")
 
+    def test_a_worker_has_crashed_only_if_its_incarnation_is_gone(self) -> None:
+        """Guards against blaming tasks for workers that left or were cut off."""
+        report = LeaseReport(500, 1, (), ())
+        other = LeaseReport(20, 2, (), ())
+        refused, timed_out = NoAnswer("down", connection_refused=True), NoAnswer("timeout")
+        cases = [
+            ("reports that it is reborn", {}, [report, other], None, True),
+            ("reports without the run", {}, [report], None, False),
+            ("another worker answers", {}, [report], RunsLost.ANOTHER_ANSWERS, True),
+            ("cut off", {}, [report, timed_out], RunsLost.LEASE_EXPIRED, False),
+            ("connections refused", {}, [report, refused], RunsLost.LEASE_EXPIRED, True),
+            ("cut off later", {}, [report, refused, timed_out], RunsLost.LEASE_EXPIRED, False),
+            ("unregistered", {"registered": False}, [timed_out], RunsLost.LEASE_EXPIRED, True),
+            ("left", {"draining": True}, [report, refused], RunsLost.LEFT, False),
+            ("reborn after it left", {"draining": True}, [report, other], None, False),
+            ("unregistered after it left", {"draining": True, "registered": False}, [refused],
+             RunsLost.LEASE_EXPIRED, False),
+        ]  # fmt: skip
+        for name, changes, answers, lost, crashed in cases:
+            with self.subTest(name):
+                ended = self.session_after(answers, **changes)
+                self.assertEqual(ended.has_crashed(1, lost), crashed)
+
+    def session_after(
+        self,
+        answers: list[LeaseReport | NoAnswer],
+        draining: bool = False,
+        registered: bool = True,
+    ) -> Session:
+        """Return a session whose renewals got these answers."""
+        clock, calls, left = ManualClock(), RecordedCalls(), list(answers)
+
+        def renew(renewal: LeaseRenewal) -> LeaseReport | NoAnswer:
+            if left:
+                return left.pop(0)
+            calls.end()
+            return NoAnswer("the case is over")
+
+        worker_session = session(calls, clock, renew)
+        worker_session.update(replace(worker(), draining=draining))
+        if not registered:
+            worker_session.unregister()
+        with sleep_moves_clock(clock):
+            worker_session.run()
+        return worker_session
+
+    def test_an_outdated_entry_is_no_evidence_of_a_crash(self) -> None:
+        """Guards against blaming a run of an incarnation that is newer than the list of workers."""
+        calls = RecordedCalls()
+        worker_session = session(calls, ManualClock(), lambda _: NoAnswer("timeout"), born_ms=5)
+        self.assertFalse(worker_session.has_crashed(7, RunsLost.LEASE_EXPIRED))
+        self.assertTrue(worker_session.has_crashed(3, RunsLost.LEASE_EXPIRED))
+
     def test_renewals_wait_longer_with_more_workers_for_each_core(self) -> None:
         cases = [(24, 1.0, 800), (270, 2.0, 1_620), (270, 1.0, 1_620), (48, 0.12, 2_000)]
         for workers, cores, wait_ms in cases:
@@ -308,10 +362,12 @@
         self.assertLess(orders[0].valid_until_ms, 500 + BOUNDS.drain_ms)
         self.assertEqual(orders[0].token, 7)
         self.assertEqual(self.calls.named("settled"), [self.run_.name])
+        self.assertEqual(self.calls.named("sent"), [(self.run_.name, 1)])
 
     def test_nothing_is_sent_before_the_worker_has_reported(self) -> None:
         self.start(lambda order: self.fail("sent"), reports=0)
         self.assertEqual(self.calls.named("not started"), [Refusal.TOO_LATE])
+        self.assertEqual(self.calls.named("sent"), [])
 
     def test_an_order_is_checked_again_before_it_is_sent(self) -> None:
         """Guards against starts on a worker that began to drain after the run was planned.
