Run a suspected task alone on a worker

All tasks on a worker that crashes are suspects. Placed by best fit, the cause and its neighbours meet again on the next worker: the neighbours lose their work each time, their counts rise with it, and the cause can't be told.

From its second crash on a task gets a worker without runs, and nothing else is placed there in the same pass or while it runs; the members of a gang share workers with each other only. Its step is split in two for that, as its other tasks are placed as before. Which workers are closed follows from the recorded counts, so it holds after a takeover. Such tasks preempt nothing. If no worker is idle, one of them (or one gang) gets a reservation of whole workers.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -99,6 +99,22 @@
         """Return the runs on one worker."""
         return tuple(self._runs[name] for name in self._runs_by_worker.get(worker_id, ()))
 
+    def has_runs_on(self, worker_id: str) -> bool:
+        """Return whether a worker has runs."""
+        return bool(self._runs_by_worker.get(worker_id))
+
+    def isolating_workers(self) -> frozenset[str]:
+        """Return the workers on which tasks run that must run alone."""
+        found: set[str] = set()
+        for job_id, tracked in self._jobs.items():
+            if not tracked.has_isolated_tasks:
+                continue
+            for run in self.runs_of(job_id):
+                ref = run.name.task
+                if ref.index in tracked.isolated_tasks(ref.occurrence, ref.step):
+                    found.add(run.worker_id)
+        return frozenset(found)
+
     def runs_of(self, job_id: str) -> tuple[Run, ...]:
         """Return the runs of one job."""
         return tuple(self._runs[name] for name in self._runs_by_job.get(job_id, ()))
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -1,6 +1,7 @@
 """Builds the inputs of a planning pass from the job tracker and the worker sessions."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from math import inf
 
 from hornbeamfold.batch import Bounds, OperatorState, RunName
@@ -17,6 +18,9 @@
 MAX_ESTIMATE_AGE_MS = 1_000
 # Callers have given a job up that takes this many times as long as its objective.
 EXPIRY_FACTOR = 3
+# A task that must run alone is placed like any other after this wait for an idle worker: a full
+# service may have none for hours.
+MAX_ISOLATION_WAIT_MS = 10_000
 
 
 def candidate_workers(
@@ -24,11 +28,12 @@
 ) -> list[CandidateWorker]:
     """Return the workers that may get new tasks now, with their free resources."""
     found: list[CandidateWorker] = []
+    isolating = tracker.isolating_workers()
     for session in sessions:
         worker = session.worker
         if not session.usable or worker.draining or health.is_excluded(worker.worker_id):
             continue
-        if worker.availability_zone in operator.zones_out:
+        if worker.availability_zone in operator.zones_out or worker.worker_id in isolating:
             continue
         found.append(
             CandidateWorker(
@@ -39,6 +44,7 @@
                 worker.labels,
                 worker.capacity,
                 worker.capacity - tracker.reserved_on(worker.worker_id),
+                tracker.has_runs_on(worker.worker_id),
             )
         )
     return found
@@ -65,26 +71,45 @@
             objective_ms = tracked.job.stretch * tracked.critical_path_ms + tracked.job.slack_ms
             avoid = tracked.avoided_workers(occurrence, index)
             expired_unix_ms = start_unix_ms + EXPIRY_FACTOR * objective_ms
-            found.append(
-                ReadyStep(
-                    tracked.job,
-                    occurrence,
-                    index,
-                    tuple(sorted(waiting)),
-                    tracked.ready_since(occurrence, index, now_ms),
-                    now_ms + int(start_unix_ms + objective_ms - unix_ms),
-                    job_id in entitled,
-                    # Long-running tasks are needed until their job is cancelled.
-                    inf if step.long_running else now_ms + expired_unix_ms - unix_ms,
-                    placed_on,
-                    # With half of the workers or more to avoid, none are avoided: a worker on which
-                    # a task failed is better than none.
-                    avoid if len(avoid) * 2 < worker_count else frozenset(),
-                )
+            ready = ReadyStep(
+                tracked.job,
+                occurrence,
+                index,
+                tuple(sorted(waiting)),
+                tracked.ready_since(occurrence, index, now_ms),
+                now_ms + int(start_unix_ms + objective_ms - unix_ms),
+                job_id in entitled,
+                # Long-running tasks are needed until their job is cancelled.
+                inf if step.long_running else now_ms + expired_unix_ms - unix_ms,
+                placed_on,
+                # With half of the workers or more to avoid, none are avoided: a worker on which a
+                # task failed is better than none.
+                avoid if len(avoid) * 2 < worker_count else frozenset(),
             )
+            found.extend(_split_isolated(ready, tracked, now_ms))
     return found
 
 
+def _split_isolated(ready: ReadyStep, tracked: TrackedJob, now_ms: int) -> Iterable[ReadyStep]:
+    """Yield the ordinary waiting tasks of a step, and those that must run alone on a worker."""
+    suspects = tracked.isolated_tasks(ready.occurrence, ready.step_index)
+    if not suspects:
+        yield ready
+        return
+    ordinary: list[int] = []
+    isolated: list[int] = []
+    for index in ready.waiting:
+        if index not in suspects:
+            ordinary.append(index)
+            continue
+        waited_ms = now_ms - tracked.isolated_since(ready.ref(index), now_ms)
+        (isolated if waited_ms < MAX_ISOLATION_WAIT_MS else ordinary).append(index)
+    if ordinary:
+        yield replace(ready, waiting=tuple(ordinary))
+    if isolated:
+        yield replace(ready, waiting=tuple(isolated), isolated=True)
+
+
 def _runs_by_worker(
     tracker: JobTracker, tracked: TrackedJob, occurrence: int, index: int
 ) -> dict[str, int]:
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -1,6 +1,7 @@
 """The state of a tracked job: task progress, startable tasks and the effects of ended runs."""
 
 from collections.abc import Iterable, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import replace
 
 from hornbeamfold.batch import (
@@ -16,6 +17,8 @@
     TaskRef,
 )
 
+# After this many crashes of its workers a task runs alone on a worker.
+ISOLATION_CRASHES = 2
 # A task that crashes its workers fails its job after this many crashes if its run was alone on the
 # worker in the last, and otherwise after the second number of crashes.
 MAX_CRASHES_ALONE = 3
@@ -36,6 +39,9 @@
         self._ready_ms: dict[tuple[int, int], int] = {}
         self._avoided_workers: dict[tuple[int, int], dict[str, None]] = {}
         self._durations_ms: dict[tuple[int, int], list[int]] = {}
+        # The tasks that must run alone, and since when each of them has waited for that.
+        self._isolated: dict[tuple[int, int], set[int]] = {}
+        self._isolated_since_ms: dict[TaskRef, int] = {}
         self._critical_path_ms = estimate_critical_path_ms(job)
         self._unfinished_tasks = 0
         for occurrence in range(job.occurrences):
@@ -46,7 +52,10 @@
         done = 0
         waiting: set[int] = set()
         for index in range(count):
-            phase = self.task(TaskRef(occurrence, step, index)).phase
+            task = self.task(TaskRef(occurrence, step, index))
+            if task.crashes >= ISOLATION_CRASHES:
+                self._isolated.setdefault((occurrence, step), set()).add(index)
+            phase = task.phase
             if phase is TaskPhase.DONE:
                 done += 1
             elif phase is TaskPhase.WAITING:
@@ -107,6 +116,23 @@
         """Return when the step became ready; the first call sets it to `now_ms`."""
         return self._ready_ms.setdefault((occurrence, step), now_ms)
 
+    @property
+    def has_isolated_tasks(self) -> bool:
+        """Whether any task must run alone on its worker."""
+        return bool(self._isolated)
+
+    def isolated_tasks(self, occurrence: int, step: int) -> AbstractSet[int]:
+        """Return the tasks of a step that must run alone; a gang is isolated as a whole."""
+        isolated = self._isolated.get((occurrence, step))
+        if isolated is None:
+            return frozenset()
+        specification = self._job.steps[step]
+        return frozenset(range(specification.count)) if specification.gang else isolated
+
+    def isolated_since(self, ref: TaskRef, now_ms: int) -> int:
+        """Return since when a task waits to run alone; the first call sets it to `now_ms`."""
+        return self._isolated_since_ms.setdefault(ref, now_ms)
+
     def avoided_workers(self, occurrence: int, step: int) -> frozenset[str]:
         """Return the workers on which tasks of this step failed, stalled or were too slow."""
         return frozenset(self._avoided_workers.get((occurrence, step), ()))
@@ -130,6 +156,7 @@
         )
         self._tasks[ref] = task
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
+        self._isolated_since_ms.pop(ref, None)
         if self._state is JobState.PENDING:
             self._state = JobState.RUNNING
         return task
@@ -179,6 +206,14 @@
 
     def _set_crashes(self, ref: TaskRef, crashes: int) -> None:
         self._tasks[ref] = replace(self.task(ref), crashes=crashes)
+        key = (ref.occurrence, ref.step)
+        if crashes >= ISOLATION_CRASHES:
+            self._isolated.setdefault(key, set()).add(ref.index)
+            return
+        isolated = self._isolated.get(key, set())
+        isolated.discard(ref.index)
+        if not isolated:
+            self._isolated.pop(key, None)
 
     def finish(self, name: RunName, end: RunEnd, checkpoint: str) -> bool:
         """Record the end of a run; return False if it is not the task's current run."""
@@ -201,7 +236,8 @@
         task = self.task(ref)
         if task.phase is TaskPhase.DONE:
             return
-        self._tasks[ref] = replace(task, phase=TaskPhase.DONE, checkpoint="", crashes=0)
+        self._tasks[ref] = replace(task, phase=TaskPhase.DONE, checkpoint="")
+        self._set_crashes(ref, 0)
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
         self._done_counts[ref.occurrence, ref.step] += 1
         self._unfinished_tasks -= 1
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -137,7 +137,12 @@
 
 
 def session(
-    calls: RecordedCalls, clock: ManualClock, renew: Renew, born_ms: int = 1, **port: Callable
+    calls: RecordedCalls,
+    clock: ManualClock,
+    renew: Renew,
+    born_ms: int = 1,
+    worker_id: str = "w1",
+    **port: Callable,
 ) -> Session:
     """Return a session whose worker answers renewals with `renew`."""
 
@@ -149,4 +154,6 @@
         start=port.get("start", refuse),
         stop=port.get("stop", refuse),
     )
-    return Session(worker(born_ms=born_ms), 7, workers, hooks(calls, clock), BOUNDS, clock, clock())
+    return Session(
+        worker(worker_id, born_ms), 7, workers, hooks(calls, clock), BOUNDS, clock, clock()
+    )
--- a/libs/coordinator/tests/test_planner_inputs.py
+++ b/libs/coordinator/tests/test_planner_inputs.py
@@ -3,12 +3,45 @@
 import unittest
 from math import inf
 
-from coordinator_cases import BOUNDS, ManualClock, job, tracker_with
+from coordinator_cases import (
+    BOUNDS,
+    ManualClock,
+    RecordedCalls,
+    job,
+    session,
+    tracker_with,
+    worker,
+)
 
-from hornbeamfold.batch import OperatorState, Resources, Step
-from hornbeamfold.coordinator.planner_inputs import ready_steps
+from hornbeamfold.batch import (
+    JobProgress,
+    JobState,
+    LeaseRenewal,
+    LeaseReport,
+    OperatorState,
+    Resources,
+    RunEnd,
+    Step,
+    TaskPhase,
+    TaskProgress,
+    TaskRef,
+)
+from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.job_tracker import JobTracker
+from hornbeamfold.coordinator.planner_inputs import (
+    MAX_ISOLATION_WAIT_MS,
+    PlacedRuns,
+    candidate_workers,
+    ready_steps,
+)
+from hornbeamfold.coordinator.session import Session
+from hornbeamfold.coordinator.tracked import ISOLATION_CRASHES, MAX_CRASHES
+from hornbeamfold.scheduling import Assignment, ReadyStep, plan
 
 DEMAND = Resources(1_000, 1_000, 1)
+FIRST = TaskRef(0, 0, 0)
+SUSPECT = TaskProgress(run=2, crashes=ISOLATION_CRASHES)
+PASS_MS = 500
 
 
 class ReadyStepsTest(unittest.TestCase):
@@ -31,5 +64,114 @@
                 self.assertEqual([each.expired_ms for each in ready], [expired_ms])
 
 
+class IsolationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.tracker = JobTracker(self.clock)
+        self.sessions = [self.reachable(worker_id) for worker_id in ("w1", "w2")]
+
+    def reachable(self, worker_id: str) -> Session:
+        """Return the session of a worker that has just reported, on a clock that stands still."""
+        calls = RecordedCalls()
+
+        def renew(renewal: LeaseRenewal) -> LeaseReport:
+            if renewal.expires_ms is not None:
+                calls.end()
+            return LeaseReport(500, 1, (), ())
+
+        reachable = session(calls, ManualClock(), renew, worker_id=worker_id)
+        reachable.run()
+        return reachable
+
+    def add(self, job_id: str, step: Step, *tasks: TaskProgress) -> None:
+        """Add a job with this recorded progress of its first tasks."""
+        progress = {TaskRef(0, 0, index): task for index, task in enumerate(tasks)}
+        self.tracker.add(job(job_id, step), JobProgress(JobState.RUNNING, progress))
+
+    def ready(self) -> list[ReadyStep]:
+        return ready_steps(
+            self.tracker, OperatorState(), self.clock(), self.clock(), BOUNDS, len(self.sessions)
+        )
+
+    def split(self) -> list[tuple[tuple[int, ...], bool]]:
+        return [(each.waiting, each.isolated) for each in self.ready()]
+
+    def candidates(self) -> dict[str, bool]:
+        """Return the workers that may get tasks, and whether they have runs."""
+        found = candidate_workers(
+            self.sessions, self.tracker, WorkerHealth(self.clock), OperatorState()
+        )
+        return {each.worker_id: each.has_runs for each in found}
+
+    def plan_once(self) -> tuple[Assignment, ...]:
+        """Carry out one planning pass; return the placements."""
+        workers = candidate_workers(
+            self.sessions, self.tracker, WorkerHealth(self.clock), OperatorState()
+        )
+        placed_runs = PlacedRuns().current(self.tracker, self.clock())
+        found = plan(self.ready(), workers, placed_runs, self.clock())
+        for each in found.assignments:
+            on = worker(each.worker_id)
+            (run,) = self.tracker.begin_runs(each.job_id, [each.task], [on])
+            self.tracker.set_incarnation(run.name, on.born_ms)
+        return found.assignments
+
+    def test_suspected_tasks_are_apart_from_the_others_of_their_step(self) -> None:
+        self.add("a", Step(3, DEMAND), TaskProgress(run=1, crashes=1), SUSPECT)
+        self.assertEqual(self.split(), [((0, 2), False), ((1,), True)])
+
+    def test_a_gang_with_a_suspected_member_is_isolated_whole(self) -> None:
+        self.add("a", Step(3, DEMAND, gang=True), TaskProgress(run=1), SUSPECT)
+        self.assertEqual(self.split(), [((0, 1, 2), True)])
+
+    def test_a_worker_with_a_suspected_task_gets_no_other_tasks(self) -> None:
+        """Guards against new neighbours of a suspected task, also after a takeover."""
+        self.assertEqual(self.candidates(), {"w1": False, "w2": False})
+        active = TaskProgress(TaskPhase.ACTIVE, 3, "w1", 1, crashes=ISOLATION_CRASHES)
+        self.add("a", Step(1, DEMAND), active)
+        self.add("b", Step(1, DEMAND), TaskProgress(TaskPhase.ACTIVE, 1, "w2", 1, crashes=1))
+        self.assertEqual(self.candidates(), {"w2": True})
+        (run,) = self.tracker.runs_on("w1")
+        self.tracker.end_run(run.name, RunEnd.DONE)
+        self.assertEqual(self.candidates(), {"w1": False, "w2": True})
+
+    def test_a_worker_with_a_member_of_a_suspected_gang_gets_no_other_tasks(self) -> None:
+        members = (
+            TaskProgress(TaskPhase.ACTIVE, 3, "w1", 1, crashes=ISOLATION_CRASHES),
+            TaskProgress(TaskPhase.ACTIVE, 3, "w2", 1),
+        )
+        self.add("a", Step(2, DEMAND, gang=True), *members)
+        self.assertEqual(self.candidates(), {})
+
+    def test_a_suspected_task_is_placed_in_company_in_a_full_service(self) -> None:
+        """Guards against a task that waits for ever for an idle worker.
+
+        If it is the cause of the crashes, the limit for tasks in company ends it.
+        """
+        self.add("a", Step(1, DEMAND, estimate_ms=1_000), SUSPECT)
+        for job_id, worker_id in (("b", "w1"), ("c", "w2")):
+            self.add(job_id, Step(1, DEMAND, estimate_ms=3_600_000))
+            (run,) = self.tracker.begin_runs(job_id, [FIRST], [worker(worker_id)])
+            self.tracker.set_incarnation(run.name, 1)
+        while "a" in self.tracker.jobs:
+            began_ms = self.clock()
+            while not self.plan_once():
+                self.clock.move(PASS_MS)
+                self.assertLessEqual(self.clock() - began_ms, MAX_ISOLATION_WAIT_MS)
+            self.assertEqual(self.clock() - began_ms, MAX_ISOLATION_WAIT_MS)
+            (run,) = self.tracker.runs_of("a")
+            tracked = self.tracker.jobs["a"]
+            # Its worker gets nothing new while it runs.
+            self.assertNotIn(run.worker_id, self.candidates())
+            self.tracker.end_run(run.name, RunEnd.WORKER_CRASHED)
+        self.assertEqual(tracked.task(FIRST).crashes, MAX_CRASHES)
+        self.assertEqual(self.tracker.recorded_progress("a")[0], JobState.FAILED)
+
+    def test_a_suspected_task_is_placed_at_once_on_an_idle_worker(self) -> None:
+        self.add("a", Step(1, DEMAND), SUSPECT)
+        self.add("b", Step(1, DEMAND), TaskProgress(TaskPhase.ACTIVE, 1, "w1", 1))
+        self.assertEqual([each.worker_id for each in self.plan_once()], ["w2"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -52,6 +52,8 @@
     def __init__(self, workers: Iterable[CandidateWorker]) -> None:
         self._workers: dict[str, CandidateWorker] = {}
         self._free: dict[str, Resources] = {}
+        # The workers with runs, which may have reserved nothing.
+        self._occupied: set[str] = set()
         self._reservations: dict[str, list[Reservation]] = {}
         self._members: dict[_GroupKey, list[str]] = {}
         self._idle_accelerators: dict[_GroupKey, int] = {}
@@ -65,6 +67,8 @@
     def _add(self, worker: CandidateWorker) -> None:
         self._workers[worker.worker_id] = worker
         self._free[worker.worker_id] = worker.free
+        if worker.has_runs:
+            self._occupied.add(worker.worker_id)
         self._racks.setdefault(worker.service, {})[worker.rack] = None
         buckets = self._by_free_accelerators.setdefault(worker.service, {})
         buckets.setdefault(worker.free.accelerators, {})[worker.worker_id] = None
@@ -108,7 +112,10 @@
         return [each for each in ids if is_eligible(step, self._workers[each])]
 
     def members_with_accelerators(self, step: ReadyStep, group: WorkerGroup) -> list[str]:
-        """Return the eligible workers with enough free accelerators for one task of a step."""
+        """Return the eligible workers with enough free accelerators for one task of a step.
+
+        For an isolated step, they have no runs either.
+        """
         found: list[str] = []
         for accelerators, ids in self._by_free_accelerators.get(step.job.service, {}).items():
             if accelerators < step.step.demand.accelerators:
@@ -117,6 +124,8 @@
                 worker = self._workers[worker_id]
                 if group.rack is not None and worker.rack != group.rack:
                     continue
+                if step.isolated and worker_id in self._occupied:
+                    continue
                 if is_eligible(step, worker):
                     found.append(worker_id)
         return found
@@ -148,6 +157,7 @@
         worker = self._workers[worker_id]
         before = self._free[worker_id]
         self._free[worker_id] = before - resources
+        self._occupied.add(worker_id)
         if not resources.accelerators:
             return
         buckets = self._by_free_accelerators[worker.service]
@@ -157,6 +167,10 @@
         for key in ((worker.service, None), (worker.service, worker.rack)):
             self._idle_accelerators[key] -= resources.accelerators
 
+    def allocate_rest(self, worker_id: str) -> None:
+        """Subtract all that is free on a worker, so that nothing else is placed there."""
+        self.allocate(worker_id, self._free[worker_id])
+
     def add_reservation(self, reservation: Reservation) -> None:
         """Reserve capacity for a waiting step; only tasks that end before it starts may use it."""
         self._reservations.setdefault(reservation.worker_id, []).append(reservation)
@@ -216,7 +230,7 @@
         resources = available(worker_id)
         if not demand.fits(resources):
             continue
-        fit = fitting_tasks(step, worker_id, resources, count)
+        fit = fitting_tasks(step, cluster.worker(worker_id), resources, count)
         if fit > 0:
             share = remaining_share(cluster.worker(worker_id), resources)
             ranked.append((share, worker_id, fit))
@@ -230,8 +244,14 @@
     return chosen
 
 
-def fitting_tasks(step: ReadyStep, worker_id: str, available: Resources, limit: int) -> int:
+def fitting_tasks(
+    step: ReadyStep, worker: CandidateWorker, available: Resources, limit: int
+) -> int:
     """Return how many more tasks of a step fit on a worker, at most `limit`."""
+    if step.isolated:
+        if available != worker.capacity:
+            return 0
+        limit = limit if step.step.gang else min(limit, 1)
     if step.step.max_per_worker:
-        limit = min(limit, step.step.max_per_worker - step.placed_on.get(worker_id, 0))
+        limit = min(limit, step.step.max_per_worker - step.placed_on.get(worker.worker_id, 0))
     return tasks_that_fit(step.step.reserved, available, limit)
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -26,6 +26,7 @@
     labels: frozenset[str]
     capacity: Resources
     free: Resources
+    has_runs: bool = False
 
 
 @dataclass(frozen=True)
@@ -36,7 +37,8 @@
     latency objective expects it to end, both on the coordinator's clock. After `expired_ms` its end
     is of no more use to the caller. `entitled` jobs are within the guarantee of their organisation.
     `placed_on` counts the step's active tasks by worker, and `avoid` lists workers on which these
-    tasks should not start again.
+    tasks should not start again. Each task of an `isolated` step gets a worker without other runs;
+    only members of one gang may share workers.
     """
 
     job: BatchJob
@@ -49,6 +51,7 @@
     expired_ms: float = inf
     placed_on: Mapping[str, int] = field(default_factory=dict)
     avoid: frozenset[str] = frozenset()
+    isolated: bool = False
 
     @property
     def step(self) -> Step:
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -113,21 +113,26 @@
         chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
         for index, worker_id in zip(step.waiting, chosen, strict=False):
             self._cluster.allocate(worker_id, step.step.reserved)
-            reason = "entitled" if step.entitled else "tightest fit"
+            reason = _placement_reason(step)
             self._assignments.append(
                 Assignment(step.job.job_id, step.ref(index), worker_id, reason)
             )
+        if step.isolated:
+            for worker_id in dict.fromkeys(chosen):
+                self._cluster.allocate_rest(worker_id)
         if len(chosen) == len(step.waiting):
             return
         self._blocked += 1
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
-        if step.entitled or _may_preempt(step, self._now_ms):
+        may_preempt = step.entitled or _may_preempt(step, self._now_ms)
+        if may_preempt and not step.isolated:
             if self._wait_for_ends(unplaced, groups):
                 return
             max_lost_work = inf if step.entitled else _max_lost_work(unplaced, self._now_ms)
             if self._reclaim(unplaced, groups, max_lost_work):
                 return
-        if not step.entitled and self._reserved_steps < MAX_RESERVATIONS and not chosen:
+        may_reserve = step.isolated or not step.entitled
+        if may_reserve and self._reserved_steps < MAX_RESERVATIONS and not chosen:
             self._reserved_steps += reserve(
                 self._cluster, step, groups, self._runs_by_end_time, self._now_ms, inf
             )
@@ -159,6 +164,12 @@
         return True
 
 
+def _placement_reason(step: ReadyStep) -> str:
+    if step.isolated:
+        return "isolated"
+    return "entitled" if step.entitled else "tightest fit"
+
+
 def _may_preempt(step: ReadyStep, now_ms: int) -> bool:
     """Return whether an urgent step without a guarantee may preempt: if its end is of use then."""
     if step.entitled or step.job.priority > 0:
--- a/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
@@ -1,6 +1,7 @@
 """Reserves capacity for a step that does not fit, so that smaller work cannot starve it."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.cluster import (
@@ -25,8 +26,11 @@
     """Reserve capacity where all waiting tasks fit the earliest, as placed runs end.
 
     `by_end_time` has the placed runs in the order in which they end. Returns False if the tasks
-    fit in no group of workers within `max_wait_ms`.
+    fit in no group of workers within `max_wait_ms`. Isolated tasks need whole workers, so that only
+    one of them gets a reservation, or else one gang.
     """
+    if step.isolated and not step.step.gang:
+        step = replace(step, waiting=step.waiting[:1])
     best: tuple[int, list[str]] | None = None
     for group in groups:
         found = _earliest_fit(cluster, step, group, by_end_time, max_wait_ms)
@@ -36,7 +40,8 @@
         return False
     remaining_ms, chosen = best
     for worker_id in chosen:
-        cluster.add_reservation(Reservation(worker_id, step.step.reserved, now_ms + remaining_ms))
+        resources = cluster.worker(worker_id).capacity if step.isolated else step.step.reserved
+        cluster.add_reservation(Reservation(worker_id, resources, now_ms + remaining_ms))
     return True
 
 
@@ -54,7 +59,7 @@
     total = 0
     for worker_id in cluster.members(step, group):
         free[worker_id] = cluster.available(worker_id, FAR_FUTURE_MS)
-        fits[worker_id] = fitting_tasks(step, worker_id, free[worker_id], count)
+        fits[worker_id] = fitting_tasks(step, cluster.worker(worker_id), free[worker_id], count)
         total += fits[worker_id]
     if total >= count:
         return 0, pack(cluster, step, count, free, free.__getitem__)
@@ -65,7 +70,7 @@
         if worker_id not in free:
             continue
         free[worker_id] = free[worker_id] + run.reserved
-        fit = fitting_tasks(step, worker_id, free[worker_id], count)
+        fit = fitting_tasks(step, cluster.worker(worker_id), free[worker_id], count)
         total += fit - fits[worker_id]
         fits[worker_id] = fit
         if total >= count:
