--- a/libs/coordinator/tests/test_job_tracker.py
+++ b/libs/coordinator/tests/test_job_tracker.py
@@ -176,6 +176,19 @@
             self.assertEqual(tracked.task(FIRST).crashes, crashes)
         self.assertEqual(tracker.recorded_progress("a")[0], JobState.FAILED)
 
+    def test_crashes_and_their_outcome_are_logged(self) -> None:
+        """Guards against a failed job whose cause cannot be found in the logs."""
+        tracker = tracker_with(self.clock, job("a", Step(1, SMALL)))
+        with self.assertLogs("hornbeamfold.coordinator.book", "WARNING") as logs:
+            for _ in range(MAX_CRASHES_ALONE):
+                self.begin(tracker, "a", FIRST)
+                self.crash(tracker)
+        lines = [(each.msg, each.__dict__["crashes"]) for each in logs.records]
+        crash = "worker_crashed_under_run"
+        self.assertEqual(lines, [(crash, 1), (crash, 2), (crash, 3), ("task_given_up", 3)])
+        fields = {key: logs.records[-1].__dict__[key] for key in ("request", "worker", "alone")}
+        self.assertEqual(fields, {"request": "a", "worker": "w1", "alone": True})
+
     def test_the_other_runs_of_a_job_that_is_given_up_are_stopped(self) -> None:
         crashed = TaskProgress(run=2, crashes=MAX_CRASHES_ALONE - 1)
         tracker = JobTracker(self.clock)
