--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -1,6 +1,7 @@
 """The state of a tracked job: task progress, startable tasks and the effects of ended runs."""
 
 from collections.abc import Iterable, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import replace
 
 from hornbeamfold.batch import (
@@ -16,6 +17,15 @@
     TaskRef,
 )
 
+# After this many crashes of its workers a task runs alone on a worker.
+ISOLATION_CRASHES = 2
+# A task that crashes its workers fails its job after this many crashes if its run was alone on the
+# worker in the last, and otherwise after the second number of crashes.
+MAX_CRASHES_ALONE = 3
+MAX_CRASHES = 4
+# A long-running task sees many workers crash. A run that has lasted for this long clears its task.
+CLEARING_RUN_MS = 60_000
+
 
 class TrackedJob:
     """The progress of a job that has not ended."""
@@ -30,6 +40,9 @@
         self._last_run_end_ms: dict[tuple[int, int], int] = {}
         self._avoided_workers: dict[tuple[int, int], dict[str, None]] = {}
         self._durations_ms: dict[tuple[int, int], list[int]] = {}
+        # The tasks that must run alone, and since when each of them has waited for that.
+        self._isolated: dict[tuple[int, int], set[int]] = {}
+        self._isolated_since_ms: dict[TaskRef, int] = {}
         self._critical_path_ms = estimate_critical_path_ms(job)
         self._unfinished_tasks = 0
         for occurrence in range(job.occurrences):
@@ -40,7 +53,10 @@
         done = 0
         waiting: set[int] = set()
         for index in range(count):
-            phase = self.task(TaskRef(occurrence, step, index)).phase
+            task = self.task(TaskRef(occurrence, step, index))
+            if task.crashes >= ISOLATION_CRASHES:
+                self._isolated.setdefault((occurrence, step), set()).add(index)
+            phase = task.phase
             if phase is TaskPhase.DONE:
                 done += 1
             elif phase is TaskPhase.WAITING:
@@ -114,6 +130,23 @@
             return max(ready_ms, self._last_run_end_ms.get((occurrence, step), ready_ms))
         return max((ready_ms, *self._last_run_end_ms.values()))
 
+    @property
+    def has_isolated_tasks(self) -> bool:
+        """Whether any task must run alone on its worker."""
+        return bool(self._isolated)
+
+    def isolated_tasks(self, occurrence: int, step: int) -> AbstractSet[int]:
+        """Return the tasks of a step that must run alone; a gang is isolated as a whole."""
+        isolated = self._isolated.get((occurrence, step))
+        if isolated is None:
+            return frozenset()
+        specification = self._job.steps[step]
+        return frozenset(range(specification.count)) if specification.gang else isolated
+
+    def isolated_since(self, ref: TaskRef, now_ms: int) -> int:
+        """Return since when a task waits to run alone; the first call sets it to `now_ms`."""
+        return self._isolated_since_ms.setdefault(ref, now_ms)
+
     def avoided_workers(self, occurrence: int, step: int) -> frozenset[str]:
         """Return the workers on which tasks of this step failed, stalled or were too slow."""
         return frozenset(self._avoided_workers.get((occurrence, step), ()))
@@ -137,6 +170,7 @@
         )
         self._tasks[ref] = task
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
+        self._isolated_since_ms.pop(ref, None)
         if self._state is JobState.PENDING:
             self._state = JobState.RUNNING
         return task
@@ -152,11 +186,54 @@
             return (ref,)
         return tuple(TaskRef(ref.occurrence, ref.step, index) for index in range(step.count))
 
+    def is_current(self, name: RunName) -> bool:
+        """Return whether a run is the active run of its task."""
+        task = self.task(name.task)
+        return task.phase is TaskPhase.ACTIVE and task.run == name.run
+
+    def add_crash(self, name: RunName, alone: bool, ran_ms: int) -> bool:
+        """Count a crash of the worker of a run, and fail the job after too many of them.
+
+        `alone` says that the run, or its gang, was the only one on the worker. Returns False if the
+        run is not the task's current run.
+        """
+        if not self.is_current(name):
+            return False
+        if self._job.steps[name.task.step].long_running and ran_ms >= CLEARING_RUN_MS:
+            self._set_crashes(name.task, 0)
+            return True
+        crashes = self.task(name.task).crashes + 1
+        self._set_crashes(name.task, crashes)
+        if crashes >= (MAX_CRASHES_ALONE if alone else MAX_CRASHES) and not self.ended:
+            self._state = JobState.FAILED
+        return True
+
+    def clear_crashes(self, name: RunName, ran_ms: int) -> bool:
+        """Clear the crashes of a long-running task that has run for long; return any change."""
+        task = self.task(name.task)
+        if not task.crashes or ran_ms < CLEARING_RUN_MS or not self.is_current(name):
+            return False
+        if not self._job.steps[name.task.step].long_running:
+            return False
+        self._set_crashes(name.task, 0)
+        return True
+
+    def _set_crashes(self, ref: TaskRef, crashes: int) -> None:
+        self._tasks[ref] = replace(self.task(ref), crashes=crashes)
+        key = (ref.occurrence, ref.step)
+        if crashes >= ISOLATION_CRASHES:
+            self._isolated.setdefault(key, set()).add(ref.index)
+            return
+        isolated = self._isolated.get(key, set())
+        isolated.discard(ref.index)
+        if not isolated:
+            self._isolated.pop(key, None)
+
     def finish(self, name: RunName, end: RunEnd, checkpoint: str) -> bool:
         """Record the end of a run; return False if it is not the task's current run."""
         ref = name.task
         task = self.task(ref)
-        if task.phase is not TaskPhase.ACTIVE or task.run != name.run:
+        if not self.is_current(name):
             return False
         if end is RunEnd.DONE and not self._job.steps[ref.step].long_running:
             for member in self.gang_refs(ref):
@@ -174,6 +251,7 @@
         if task.phase is TaskPhase.DONE:
             return
         self._tasks[ref] = replace(task, phase=TaskPhase.DONE, checkpoint="")
+        self._set_crashes(ref, 0)
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
         self._done_counts[ref.occurrence, ref.step] += 1
         self._unfinished_tasks -= 1
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -123,6 +123,7 @@
             on_fenced=lambda reason: (calls.note("fenced", reason), calls.end())[0],
             is_active_run=lambda name: True,
             may_start=lambda run, worker: not calls.named("draining"),
+            on_sent=lambda name, born_ms: calls.note("sent", (name, born_ms)),
         ),
         busy_wait_ms=lambda: MIN_BUSY_RENEWAL_WAIT_MS,
         on_report=lambda session, report, sent_ms: calls.note("report", report),
@@ -136,7 +137,12 @@
 
 
 def session(
-    calls: RecordedCalls, clock: ManualClock, renew: Renew, born_ms: int = 1, **port: Callable
+    calls: RecordedCalls,
+    clock: ManualClock,
+    renew: Renew,
+    born_ms: int = 1,
+    worker_id: str = "w1",
+    **port: Callable,
 ) -> Session:
     """Return a session whose worker answers renewals with `renew`."""
 
@@ -148,4 +154,6 @@
         start=port.get("start", refuse),
         stop=port.get("stop", refuse),
     )
-    return Session(worker(born_ms=born_ms), 7, workers, hooks(calls, clock), BOUNDS, clock, clock())
+    return Session(
+        worker(worker_id, born_ms), 7, workers, hooks(calls, clock), BOUNDS, clock, clock()
+    )
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -27,6 +27,7 @@
     labels: frozenset[str]
     capacity: Resources
     free: Resources
+    has_runs: bool = False
 
 
 @dataclass(frozen=True)
@@ -38,7 +39,8 @@
     is of no more use to the caller. `idle_since_ms` is since when the job has had no run although
     these tasks were ready; None if it has one. `entitled` jobs are within the guarantee of their
     organisation. `placed_on` counts the step's active tasks by worker, and `avoid` lists workers on
-    which these tasks should not start again.
+    which these tasks should not start again. Each task of an `isolated` step gets a worker without
+    other runs; only members of one gang may share workers.
     """
 
     job: BatchJob
@@ -52,6 +54,7 @@
     idle_since_ms: int | None = None
     placed_on: Mapping[str, int] = field(default_factory=dict)
     avoid: frozenset[str] = frozenset()
+    isolated: bool = False
 
     @property
     def step(self) -> Step:
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -122,7 +122,7 @@
         headroom = self._headroom.get(step.job.service, 0)
         max_tasks = _max_tasks(self._cluster, step, headroom, self._now_ms)
         chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
-        reason = "entitled" if step.entitled else "tightest fit"
+        reason = _placement_reason(step)
         if not chosen and step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
             chosen = _place_idle_job(self._cluster, step, groups)
             reason = "idle"
@@ -131,6 +131,9 @@
             self._assignments.append(
                 Assignment(step.job.job_id, step.ref(index), worker_id, reason)
             )
+        if step.isolated:
+            for worker_id in dict.fromkeys(chosen):
+                self._cluster.allocate_rest(worker_id)
         if len(chosen) == len(step.waiting):
             return
         self._blocked += 1
@@ -139,13 +142,15 @@
             wait = explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms)
             if wait is not None:
                 self._waits.append(wait)
-        if step.entitled or _may_preempt(step, self._now_ms):
+        may_preempt = step.entitled or _may_preempt(step, self._now_ms)
+        if may_preempt and not step.isolated:
             if self._wait_for_ends(unplaced, groups):
                 return
             max_lost_work = inf if step.entitled else _max_lost_work(unplaced, self._now_ms)
             if self._reclaim(unplaced, groups, max_lost_work):
                 return
-        if not step.entitled and self._reserved_steps < MAX_RESERVATIONS and not chosen:
+        may_reserve = step.isolated or not step.entitled
+        if may_reserve and self._reserved_steps < MAX_RESERVATIONS and not chosen:
             self._reserved_steps += reserve(
                 self._cluster, step, groups, self._runs_by_end_time, self._now_ms, inf, firm=False
             )
@@ -185,6 +190,12 @@
         return True
 
 
+def _placement_reason(step: ReadyStep) -> str:
+    if step.isolated:
+        return "isolated"
+    return "entitled" if step.entitled else "tightest fit"
+
+
 def _may_preempt(step: ReadyStep, now_ms: int) -> bool:
     """Return whether an urgent step without a guarantee may preempt: if its end is of use then."""
     if step.entitled or step.job.priority > 0:
