Let an idle job's suspected task run in company where there is ample room

What callers would see: a job whose task must run alone waits for 10 s while every worker has a small run and most of the room is free (LOST, as the job has no run). Change: after 2 s without a run, a step that must run alone may use workers with runs if there is room twice over; one more crash in company ends its job, as before. Measured: test_an_idle_job_does_not_wait_for_an_idle_worker_beside_ample_room fails before (0 of 1 placed) and passes.

--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -124,7 +124,7 @@
         chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
         reason = _placement_reason(step)
         if not chosen and step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
-            chosen = _place_idle_job(self._cluster, step, groups)
+            step, chosen = _place_idle_job(self._cluster, step, groups)
             reason = "idle"
         for index, worker_id in zip(step.waiting, chosen, strict=False):
             self._cluster.allocate(worker_id, step.step.reserved)
@@ -251,15 +251,22 @@
 
 def _place_idle_job(
     cluster: ClusterCapacity, step: ReadyStep, groups: Sequence[WorkerGroup]
-) -> list[str]:
+) -> tuple[ReadyStep, list[str]]:
     """Return workers for a job without a run if there is ample room, whatever the step prefers.
 
-    Workers to avoid are used if there is no ample room on others.
+    Workers to avoid, and for an isolated step those with runs, are used if there is no ample room
+    on others. Also returns the step as it is placed.
     """
-    chosen = _place_in_ample_room(cluster, step, groups)
-    if chosen or not step.avoid:
-        return chosen
-    return _place_in_ample_room(cluster, replace(step, avoid=frozenset()), groups)
+    variants = [step]
+    if step.avoid:
+        variants.append(replace(step, avoid=frozenset()))
+    if step.isolated:
+        variants.append(replace(step, avoid=frozenset(), isolated=False))
+    for variant in variants:
+        chosen = _place_in_ample_room(cluster, variant, groups)
+        if chosen:
+            return variant, chosen
+    return step, []
 
 
 def _place_in_ample_room(
--- a/libs/scheduling/tests/test_isolation.py
+++ b/libs/scheduling/tests/test_isolation.py
@@ -86,6 +86,18 @@
                 # Only what ends before the reservation begins may use the worker.
                 self.assertEqual(placed(result), {"b": ["w2"] * 7, "d": ["w1"]})
 
+    def test_an_idle_job_does_not_wait_for_an_idle_worker_beside_ample_room(self) -> None:
+        """Guards against a job that has no run for 3 s since every worker has a small run."""
+        workers = [candidate(f"w{index}", has_runs=True) for index in range(3)]
+        step = ready("a", Step(1, resources(1)), isolated=True, idle_since_ms=0)
+        for now_ms, expected in ((1_500, 0), (2_500, 1)):
+            with self.subTest(now_ms=now_ms):
+                result = plan([step], workers, [], now_ms)
+                self.assertEqual(len(result.assignments), expected)
+        others = [candidate("w9"), *workers]
+        (chosen,) = plan([step], others, [], 2_500).assignments
+        self.assertEqual((chosen.worker_id, chosen.reason), ("w9", "isolated"))
+
 
 if __name__ == "__main__":
     unittest.main()
