Avoid the worker that crashed when its tasks start again

What callers would see: a task with a worker to itself returns by best fit to one that goes down and up by turns, and after three of these crashes its job is given up. Change: the end of a run with its worker's crash puts the worker on the list that the step avoids, as a failure does. Measured: test_the_next_run_avoids_the_worker_that_crashed fails before and passes after.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -298,7 +298,7 @@
             tracked.record_run_end(name.task, self._clock())
         if end is RunEnd.DONE and run.from_percent == 0:
             tracked.add_duration(name.task, self._clock() - run.begun_ms)
-        if end is RunEnd.FAILED:
+        if end in (RunEnd.FAILED, RunEnd.WORKER_CRASHED):
             tracked.avoid_worker(name.task, run.worker_id)
         self._changed.add(name.job_id)
         if end is RunEnd.DONE:
--- a/libs/coordinator/tests/test_job_tracker.py
+++ b/libs/coordinator/tests/test_job_tracker.py
@@ -165,6 +165,13 @@
             tracker.end_run(run.name, RunEnd.WORKER_CRASHED)
         self.born_ms += 1
 
+    def test_the_next_run_avoids_the_worker_that_crashed(self) -> None:
+        """Guards against a job that fails since its task returns to a worker that crashes often."""
+        tracker = tracker_with(self.clock, job("a", Step(1, SMALL)))
+        self.begin(tracker, "a", FIRST)
+        self.crash(tracker)
+        self.assertEqual(tracker.jobs["a"].avoided_workers(0, 0), {"w1"})
+
     def test_a_job_fails_when_its_task_alone_crashes_three_workers(self) -> None:
         """Guards against starting a task for ever that crashes each worker that starts it."""
         tracker = tracker_with(self.clock, job("a", Step(1, SMALL)))
