Send no start order to a worker that has shrunk below its runs

Callers would see a worker over its capacity (rule LIMIT): runs are recorded, stored and queued for one of six slots before their orders are sent, and an unanswered order is sent again, but the check before each send did not look at the capacity.

The check now compares all that is reserved on the worker, with what is being stopped, with its latest entry in the registry, which may be newer than the session's. A run that does not fit ends as not started and its task is placed again at once; nothing is stopped for it. After a lost order the run is prevented by a stop order as before, since the order may still arrive. Each withheld start is logged as start_withheld.

--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -1,7 +1,7 @@
 """Starts planned runs: records them first, then sends the orders, which are checked again."""
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 
 from hornbeamfold.batch import Clock, OperatorState, RunEnd, RunName, TaskRef, Worker
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
@@ -78,9 +78,30 @@
         current = self._deps.tracker.runs.get(run.name)
         if current is None or current.stop_reason or run.name.job_id not in self._deps.tracker.jobs:
             return False
-        if worker.draining or worker.worker_id not in self._deps.registry():
+        registered = self._deps.registry().get(worker.worker_id)
+        if worker.draining or registered is None:
             return False
-        return worker.availability_zone not in self._deps.operator().zones_out
+        if worker.availability_zone in self._deps.operator().zones_out:
+            return False
+        return self._fits(run, registered)
+
+    def _fits(self, run: Run, registered: Worker) -> bool:
+        """Return whether all runs on a worker, with this one, fit its latest capacity."""
+        reserved = self._deps.tracker.reserved_on(registered.worker_id)
+        if reserved.fits(registered.capacity):
+            return True
+        logger.info(
+            "start_withheld",
+            extra={
+                "request": run.name.job_id,
+                "task": list(run.name.task),
+                "run": run.name.run,
+                "worker": registered.worker_id,
+                "reserved": astuple(reserved),
+                "capacity": astuple(registered.capacity),
+            },
+        )
+        return False
 
     def _send_orders(self, runs: Sequence[Run]) -> None:
         """Send the start orders of runs that have been stored."""
--- /dev/null
+++ b/libs/coordinator/tests/test_starts.py
@@ -0,0 +1,84 @@
+"""Tests for the check of a recorded run before its start order is sent."""
+
+import unittest
+from collections.abc import Mapping
+from dataclasses import replace
+
+from coordinator_cases import CAPACITY, ManualClock, job, tracker_with, worker
+
+from hornbeamfold.batch import OperatorState, Resources, RunEnd, Step, TaskRef, Worker
+from hornbeamfold.coordinator.job_tracker import JobTracker, Run
+from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
+
+HALF = Resources(32_000, 128_000, 4)
+
+
+def starter(tracker: JobTracker, registry: Mapping[str, Worker]) -> RunStarter:
+    """Return a starter that sends nothing."""
+    return RunStarter(
+        StartDependencies(
+            tracker,
+            {},
+            OperatorState,
+            lambda: registry,
+            lambda callback: None,
+            lambda: True,
+            lambda name, end: None,
+            lambda: 0,
+        )
+    )
+
+
+class CapacityChangeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        step = Step(3, HALF, 1_000)
+        self.tracker = tracker_with(ManualClock(), job("a", step))
+
+    def begin(self, *indexes: int) -> list[Run]:
+        refs = [TaskRef(0, 0, index) for index in indexes]
+        return self.tracker.begin_runs("a", refs, [worker() for _ in refs])
+
+    def may_start(self, run: Run, capacity: Resources) -> bool:
+        registry = {"w1": replace(worker(), capacity=capacity)}
+        # The session has not seen the entry yet.
+        return starter(self.tracker, registry).may_start(run, worker())
+
+    def test_a_recorded_run_that_no_longer_fits_may_not_start(self) -> None:
+        """Guards against a start over the capacity of a worker that shrank after the plan."""
+        _, second = self.begin(0, 1)
+        cases = [
+            ("unchanged", CAPACITY, True),
+            ("grown", CAPACITY + HALF, True),
+            ("an accelerator less", CAPACITY - Resources(0, 0, 1), False),
+            ("less memory", CAPACITY - Resources(0, 1, 0), False),
+            ("less processor time", CAPACITY - Resources(1, 0, 0), False),
+            ("no accelerators", replace(CAPACITY, accelerators=0), False),
+            ("nothing", Resources(), False),
+        ]
+        for name, capacity, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(self.may_start(second, capacity), expected)
+
+    def test_a_withheld_run_makes_room_for_the_next(self) -> None:
+        """Guards against withholding all recorded runs where one of them still fits."""
+        first, second = self.begin(0, 1)
+        self.assertFalse(self.may_start(first, HALF))
+        self.tracker.end_run(first.name, RunEnd.LOST)
+        self.assertTrue(self.may_start(second, HALF))
+
+    def test_a_run_that_is_being_stopped_counts(self) -> None:
+        first, second = self.begin(0, 1)
+        self.tracker.request_stop(first.name, "preempted")
+        self.assertFalse(self.may_start(second, HALF))
+
+    def test_a_withheld_start_is_logged(self) -> None:
+        _, second = self.begin(0, 1)
+        with self.assertLogs("hornbeamfold.coordinator.starts", "INFO") as logs:
+            self.may_start(second, HALF)
+        (record,) = logs.records
+        self.assertEqual(record.getMessage(), "start_withheld")
+        self.assertEqual(record.__dict__["worker"], "w1")
+
+
+if __name__ == "__main__":
+    unittest.main()
