Count no negative room when idle accelerators are summed

Callers saw tasks wait beside idle workers: a worker that has shrunk below its runs has negative free accelerators, and the sum over its service or rack, which decides whether a group is tried at all and how much is left beside the headroom, was lowered by them. With one worker of 0 of 8 left and one that was idle, neither a task, a gang nor a task without accelerators was placed.

The sum now takes such a worker as full. Before the change 4 checks of test_shrunk_workers.py failed; after it 23 tests of libs/scheduling pass.

--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -71,7 +71,7 @@
         kind = _WorkerKind(worker.capacity, worker.labels)
         for key in ((worker.service, None), (worker.service, worker.rack)):
             self._members.setdefault(key, []).append(worker.worker_id)
-            idle = self._idle_accelerators.get(key, 0) + worker.free.accelerators
+            idle = self._idle_accelerators.get(key, 0) + max(0, worker.free.accelerators)
             self._idle_accelerators[key] = idle
             self._kinds.setdefault(key, Counter())[kind] += 1
 
