Preempt no run that frees nothing of what is missing

Callers saw runs stopped for nothing: on a worker that lacks one resource, such as one that has shrunk in accelerators, runs were preempted in the order of lost work until enough was free, also those that have none of that resource. A guaranteed task that needed 4 accelerators stopped a run without any beside the one that freed them.

Such runs are now passed over.

--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -216,6 +216,14 @@
         for run in self._runs.on_worker(worker_id, step.job.priority):
             if run in self._victims or run in added:
                 continue
+            reserved = run.reserved
+            if not (
+                (cpu_millis > 0 and reserved.cpu_millis)
+                or (memory_mb > 0 and reserved.memory_mb)
+                or (accelerators > 0 and reserved.accelerators)
+            ):
+                # The run frees nothing that is missing.
+                continue
             for member in self._runs.gang_members(run):
                 if member in self._victims or member in added:
                     continue
--- a/libs/scheduling/tests/test_shrunk_workers.py
+++ b/libs/scheduling/tests/test_shrunk_workers.py
@@ -2,13 +2,12 @@
 
 import unittest
 
-from scheduling_cases import CAPACITY, candidate, ready, resources
+from scheduling_cases import CAPACITY, candidate, placed_run, ready, resources
 
 from hornbeamfold.batch import Resources, Step
-from hornbeamfold.scheduling import CandidateWorker, Plan, plan
+from hornbeamfold.scheduling import CandidateWorker, PlacedRun, Plan, plan
 
 NOW = 1_000
-NOTHING = Resources()
 
 
 def shrunk(
@@ -46,5 +45,24 @@
         self.assertEqual(placed(result), ["w2"])
 
 
+class ReclaimTest(unittest.TestCase):
+    def victims(self, step: Step, workers: list[CandidateWorker], runs: list[PlacedRun]) -> list:
+        """Return the jobs whose runs are preempted for a guaranteed step."""
+        waiting = ready("a", step, 0, entitled=True)
+        result = plan([waiting], workers, runs, NOW)
+        self.assertEqual(result.assignments, ())
+        return sorted(each.name.job_id for each in result.preemptions)
+
+    def test_only_runs_that_free_what_is_missing_are_preempted(self) -> None:
+        """Guards against stopping a run that has none of the resource that shrank."""
+        capacity = resources(4, 256_000, 64_000)
+        runs = [
+            placed_run("cheap", 0, "w1", resources(0), lost_work=1.0),
+            placed_run("other", 0, "w1", resources(4), lost_work=10.0),
+        ]
+        worker = shrunk("w1", capacity, resources(4) + resources(0))
+        self.assertEqual(self.victims(Step(1, resources(4)), [worker], runs), ["other"])
+
+
 if __name__ == "__main__":
     unittest.main()
