Place nothing on a new incarnation before its entry describes it

Callers could see a worker over its capacity after it began again as a smaller kind: when its lease report told of the new incarnation before the registry did, the session kept the description of the former one, and starts that fitted that one were accepted by the new one.

Such a session is now not usable, and queued runs are withheld, until the registry has an entry of the incarnation that answers. An entry that is older than the report does not count.

--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -101,6 +101,7 @@
         self._unknown_runs = 0
         self._closed = False
         self._registered = True
+        self._described = True
         link = WorkerLink(
             lambda: self._worker, self._worker_clock, lambda: not self._closed, self._request_report
         )
@@ -126,9 +127,14 @@
 
     @property
     def usable(self) -> bool:
-        """Whether the worker is registered and reachable and has no unknown runs."""
+        """Whether the worker is registered and reachable and has no unknown runs.
+
+        A new incarnation may have less capacity, so its own entry in the registry is waited for.
+        """
         if self._reported_ms is None or self._unknown_runs or not self._registered:
             return False
+        if not self._described:
+            return False
         return self._clock() - self._reported_ms < REACHABILITY_TIMEOUT_MS
 
     @property
@@ -149,9 +155,11 @@
         self._registered = True
         if worker.born_ms > self._worker.born_ms:
             self._on_new_incarnation(worker)
+            self._described = True
             return
         if worker.born_ms == self._worker.born_ms:
             self._worker = worker
+            self._described = True
 
     def unregister(self) -> None:
         """Record that the worker is no longer in the platform's registry."""
@@ -266,6 +274,7 @@
             logger.info("worker_regained", extra={"worker": self._worker.worker_id})
         if is_other_incarnation:
             self._on_new_incarnation(replace(self._worker, born_ms=report.born_ms))
+            self._described = False
         self._worker_clock_ms = report.clock_ms
         self._worker_clock_read_ms = now
         self._has_running_tasks = bool(report.running)
--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -83,7 +83,8 @@
             return False
         if worker.availability_zone in self._deps.operator().zones_out:
             return False
-        return self._fits(run, registered)
+        # The entry of another incarnation does not tell this one's capacity.
+        return registered.born_ms == worker.born_ms and self._fits(run, registered)
 
     def _fits(self, run: Run, registered: Worker) -> bool:
         """Return whether all runs on a worker, with this one, fit its latest capacity."""
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -180,6 +180,28 @@
         self.assertEqual(sessions[0].worker.born_ms, 2)
         self.assertTrue(sessions[0].worker.draining)
 
+    def test_a_new_incarnation_gets_no_tasks_before_its_entry_describes_it(self) -> None:
+        """Guards against starts over the capacity of a worker that came back as a smaller one."""
+        clock, calls = ManualClock(), RecordedCalls()
+        answers = [LeaseReport(500, 1, (), ()), LeaseReport(20, 2, (), ())]
+        usable: list[bool] = []
+        sessions: list[Session] = []
+
+        def renew(renewal: LeaseRenewal) -> LeaseReport:
+            usable.append(sessions[0].usable)
+            if len(usable) == 4:
+                calls.end()
+            if len(usable) == 3:
+                # The entry of the previous incarnation is still the newest one.
+                sessions[0].update(worker(born_ms=1))
+                usable[-1] = sessions[0].usable
+                sessions[0].update(worker(born_ms=2))
+            return answers[0 if len(usable) == 1 else 1]
+
+        sessions.append(session(calls, clock, renew))
+        sessions[0].run()
+        self.assertEqual(usable, [False, True, False, True])
+
     def test_a_new_incarnation_that_does_not_report_keeps_its_runs_for_a_lease(self) -> None:
         clock, calls = ManualClock(), RecordedCalls()
 
--- a/libs/coordinator/tests/test_starts.py
+++ b/libs/coordinator/tests/test_starts.py
@@ -71,6 +71,14 @@
         self.tracker.request_stop(first.name, "preempted")
         self.assertFalse(self.may_start(second, HALF))
 
+    def test_a_run_may_not_start_on_an_incarnation_without_an_entry(self) -> None:
+        """Guards against starts over the capacity of a worker that came back as a smaller one."""
+        (run,) = self.begin(0)
+        registry = {"w1": worker(born_ms=1)}
+        self.assertFalse(starter(self.tracker, registry).may_start(run, worker(born_ms=2)))
+        registry["w1"] = worker(born_ms=2)
+        self.assertTrue(starter(self.tracker, registry).may_start(run, worker(born_ms=2)))
+
     def test_a_withheld_start_is_logged(self) -> None:
         _, second = self.begin(0, 1)
         with self.assertLogs("hornbeamfold.coordinator.starts", "INFO") as logs:
