Log each change of a worker's capacity

On-call engineers could not see from the logs that a worker had shrunk or grown, which now decides where tasks may start. One line gives the worker, its capacity before and after, and what is reserved on it.

--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -1,7 +1,7 @@
 """A coordinator's term: plans runs, records progress and manages the worker sessions."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 
 import eventlet
 from eventlet.event import Event
@@ -253,7 +253,9 @@
         for worker_id, worker in registry.items():
             session = self._sessions.get(worker_id)
             if session is not None:
+                before = session.worker
                 session.update(worker)
+                self._log_capacity_change(before, session.worker)
                 continue
             self._open_session(worker)
         for worker_id, session in tuple(self._sessions.items()):
@@ -264,6 +266,19 @@
                 session.close()
                 del self._sessions[worker_id]
 
+    def _log_capacity_change(self, before: Worker, after: Worker) -> None:
+        if before.capacity == after.capacity:
+            return
+        logger.info(
+            "worker_capacity_changed",
+            extra={
+                "worker": after.worker_id,
+                "was": astuple(before.capacity),
+                "capacity": astuple(after.capacity),
+                "reserved": astuple(self._tracker.reserved_on(after.worker_id)),
+            },
+        )
+
     def _open_session(self, worker: Worker) -> None:
         session = Session(
             worker,
