Keep room for recorded runs of jobs that are not read yet

After a takeover callers could see a worker over its capacity and a sound run stopped: the former coordinator may have started runs of a job that it read before its successor did. Until the successor reads the job, its runs are known by name and worker but not by size. They reserved nothing, so other tasks started beside them, and a run that its worker listed was stopped as unknown.

Until the leases of the former coordinator have expired, workers with such runs now get no tasks, and the runs are not stopped.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
@@ -1,6 +1,6 @@
 """Adds jobs from the replica to the job tracker, with progress from earlier coordinators."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import eventlet
@@ -11,6 +11,7 @@
     JobState,
     ReadFailed,
     RunName,
+    TaskPhase,
     TopicPort,
 )
 from hornbeamfold.coordinator.job_tracker import JobTracker
@@ -45,6 +46,16 @@
         self._recorded_progress: dict[str, JobProgress] = {}
         self._listening = False
 
+    @property
+    def unread_runs(self) -> Mapping[RunName, str]:
+        """The workers of recorded runs whose jobs are not yet in the replica."""
+        return {
+            RunName(job_id, ref, task.run): task.worker_id
+            for job_id, progress in self._recorded_progress.items()
+            for ref, task in progress.tasks.items()
+            if task.phase is TaskPhase.ACTIVE
+        }
+
     def begin(self, progress_topic: TopicPort) -> bool:
         """Load the recorded progress and add all jobs; return whether the term continues."""
         if not self._load(progress_topic):
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -292,6 +292,12 @@
         self._sessions[worker.worker_id] = session
         eventlet.spawn_n(log_exceptions(session.run))
 
+    def _unread_runs(self) -> Mapping[RunName, str]:
+        """Return the workers of runs whose jobs are not read yet, as long as those may be alive."""
+        if self._deps.clock() >= self._orphan_deadline_ms:
+            return {}
+        return self._intake.unread_runs
+
     def _end_orphans(self) -> None:
         """End runs on workers without a session once their leases have certainly expired."""
         if self._deps.clock() < self._orphan_deadline_ms:
@@ -304,13 +310,15 @@
         """Reconcile the runs that a worker reports with the job tracker."""
         worker = session.worker
         reported: set[RunName] = set()
+        unread = self._unread_runs()
         unknown = 0
         for task in report.running:
             reported.add(task.name)
             run = self._tracker.runs.get(task.name)
             if run is None or run.worker_id != worker.worker_id:
                 unknown += 1
-                session.orders.stop_unknown_run(task.name)
+                if task.name not in unread:
+                    session.orders.stop_unknown_run(task.name)
                 continue
             self._tracker.settle(task.name)
             self._tracker.update_progress(task)
@@ -394,9 +402,14 @@
     def _plan_once(self) -> None:
         began = self._deps.clock()
         operator = self._deps.operator()
-        candidates = candidate_workers(
-            self._sessions.values(), self._tracker, self._health, operator
-        )
+        # What runs of unread jobs reserve is not known.
+        unread_workers = set(self._unread_runs().values())
+        sessions = [
+            session
+            for worker_id, session in self._sessions.items()
+            if worker_id not in unread_workers
+        ]
+        candidates = candidate_workers(sessions, self._tracker, self._health, operator)
         steps = ready_steps(
             self._tracker, operator, self._deps.wall(), began, self._deps.bounds, len(candidates)
         )
