Wait a second before a worker without room is asked again

Callers saw tasks wait and workers of services that enforce their capacity saw a series of starts that they refused: until the entry of a worker that has shrunk is read, the planner takes the same worker for the best fit of the refused task again, pass after pass.

A worker that refuses for want of room now gets no tasks for 1 s. The time is chosen, not measured. Other workers get the task at once, and the longer exclusions for ill health are not affected.

--- a/libs/coordinator/src/hornbeamfold/coordinator/health.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/health.py
@@ -14,6 +14,9 @@
 # The duration of the first exclusion, which doubles with each further one up to the maximum.
 EXCLUSION_MS = 4_000
 MAX_EXCLUSION_MS = 16_000
+# A worker that refuses a task for want of room is not asked again in every pass until its entry in
+# the registry shows that it has shrunk.
+NO_ROOM_EXCLUSION_MS = 1_000
 
 
 @dataclass(frozen=True)
@@ -54,9 +57,21 @@
         if now < record.excluded_until_ms:
             return
         duration_ms = min(EXCLUSION_MS << record.exclusions, MAX_EXCLUSION_MS)
-        self._records[worker_id] = _FailureRecord(
-            record.failed_jobs, now + duration_ms, record.exclusions + 1
-        )
+        self._set_aside(worker_id, reason, duration_ms, record.exclusions + 1)
+
+    def refused_room(self, worker_id: str) -> None:
+        """Exclude a worker that refused a task for want of room for a moment.
+
+        It is no sign of ill health, so later exclusions do not get longer.
+        """
+        record = self._records.get(worker_id, _FailureRecord())
+        if self._clock() >= record.excluded_until_ms:
+            self._set_aside(worker_id, "no room", NO_ROOM_EXCLUSION_MS, record.exclusions)
+
+    def _set_aside(self, worker_id: str, reason: str, duration_ms: int, exclusions: int) -> None:
+        record = self._records.get(worker_id, _FailureRecord())
+        until_ms = self._clock() + duration_ms
+        self._records[worker_id] = _FailureRecord(record.failed_jobs, until_ms, exclusions)
         _exclusions(1, reason=reason)
         logger.warning(
             "worker_set_aside", extra={"worker": worker_id, "reason": reason, "for_ms": duration_ms}
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -366,6 +366,8 @@
     def _on_not_started(self, run: Run, reason: Refusal) -> None:
         if reason in (Refusal.UNHEALTHY, Refusal.UNREACHABLE):
             self._health.exclude(run.worker_id, reason.value)
+        if reason is Refusal.NO_ROOM:
+            self._health.refused_room(run.worker_id)
         if reason is Refusal.GONE and (session := self._sessions.get(run.worker_id)):
             self._on_runs_lost(session, "another incarnation answers")
             return
