Start no member of a gang of which one no longer fits

Callers of gangs lost starts when a worker shrank between the record of a gang and its orders: the members on other workers were started, and then stopped because the gang was broken. The tasks also waited for those stops before they were placed again.

All members are now checked before the first order is sent; if one may not start, none is sent and all end as not started. A member that is withheld later, while it waits for a slot or after a lost order, still breaks the gang.

--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -108,13 +108,29 @@
         """Send the start orders of runs that have been stored."""
         if not self._deps.is_active():
             return
+        withheld = self._withheld_gangs(runs)
         for run in runs:
             tracked = self._deps.tracker.jobs.get(run.name.job_id)
             session = self._deps.sessions.get(run.worker_id)
             current = self._deps.tracker.runs.get(run.name)
             if current is None:
                 continue
-            if tracked is None or session is None:
+            if tracked is None or session is None or _step_key(run) in withheld:
                 self._deps.end(run.name, RunEnd.LOST)
                 continue
             session.orders.start(current, tracked.job.payload)
+
+    def _withheld_gangs(self, runs: Sequence[Run]) -> set[tuple[str, int, int]]:
+        """Return the gangs with a member that may not start, so that no member is started."""
+        withheld: set[tuple[str, int, int]] = set()
+        for run in runs:
+            session = self._deps.sessions.get(run.worker_id)
+            if session is None or not self._deps.tracker.is_gang_member(run.name):
+                continue
+            if not self.may_start(run, session.worker):
+                withheld.add(_step_key(run))
+        return withheld
+
+
+def _step_key(run: Run) -> tuple[str, int, int]:
+    return run.name.job_id, run.name.task.occurrence, run.name.task.step
