Count no accelerators of workers that are over their capacity as idle

Callers of urgent work found no room although headroom was kept for it: accelerators of a worker that has shrunk below its runs in processor time or memory counted as idle, where no task can start, so work that can wait took the real room. With such a worker and an idle one, 8 tasks took all accelerators of the idle one in spite of a headroom of 6.

--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -16,6 +16,7 @@
 ACCELERATOR_WEIGHT = 2.0
 # Later than the start of any reservation, so that reserved capacity is not available.
 FAR_FUTURE_MS = 1 << 62
+NOTHING = Resources()
 
 
 @dataclass(frozen=True)
@@ -71,7 +72,7 @@
         kind = _WorkerKind(worker.capacity, worker.labels)
         for key in ((worker.service, None), (worker.service, worker.rack)):
             self._members.setdefault(key, []).append(worker.worker_id)
-            idle = self._idle_accelerators.get(key, 0) + max(0, worker.free.accelerators)
+            idle = self._idle_accelerators.get(key, 0) + _usable_accelerators(worker.free)
             self._idle_accelerators[key] = idle
             self._kinds.setdefault(key, Counter())[kind] += 1
 
@@ -92,7 +93,10 @@
         return self._free[worker_id]
 
     def idle_accelerators(self, service: str, rack: str | None = None) -> int:
-        """Return the number of free accelerators of a service, including reserved ones."""
+        """Return the number of free accelerators of a service, including reserved ones.
+
+        Workers that are over their capacity in any resource have none.
+        """
         return self._idle_accelerators.get((service, rack), 0)
 
     def total_accelerators(self, service: str) -> int:
@@ -178,6 +182,11 @@
     return not label or label in worker.labels
 
 
+def _usable_accelerators(free: Resources) -> int:
+    """Return the free accelerators of a worker; none if it is over its capacity in a resource."""
+    return free.accelerators if NOTHING.fits(free) else 0
+
+
 def tasks_that_fit(demand: Resources, available: Resources, limit: int) -> int:
     """Return how many tasks fit into the available resources, at most `limit`."""
     if not demand.fits(available):
--- a/libs/scheduling/tests/test_shrunk_workers.py
+++ b/libs/scheduling/tests/test_shrunk_workers.py
@@ -38,6 +38,18 @@
                 result = plan([ready("a", step)], workers, [], NOW, headroom)
                 self.assertEqual(placed(result), expected)
 
+    def test_accelerators_of_an_overfull_worker_are_no_headroom(self) -> None:
+        """Guards against headroom for urgent work where no task can start."""
+        cases = [
+            ("processor time", Resources(0, 256_000, 8)),
+            ("memory", Resources(64_000, 0, 8)),
+        ]
+        for name, capacity in cases:
+            with self.subTest(name):
+                workers = [shrunk("w1", capacity, resources(2)), candidate("w2")]
+                result = plan([ready("a", Step(8, resources(1)))], workers, [], NOW, {"planner": 6})
+                self.assertEqual(placed(result), ["w2"] * 2)
+
     def test_a_full_worker_beside_a_shrunk_one_gets_tasks_without_accelerators(self) -> None:
         overfull = shrunk("w1", resources(4, 256_000, 64_000), resources(8))
         full = candidate("w2", free=CAPACITY - resources(8))
