Log starts that are withheld as the capacity is not known

A start on an incarnation without an entry was withheld without a line. It is now logged as start_withheld with no capacity; the check of the log line was added to test_starts.py.

--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import astuple, dataclass
 
-from hornbeamfold.batch import Clock, OperatorState, RunEnd, RunName, TaskRef, Worker
+from hornbeamfold.batch import Clock, OperatorState, Resources, RunEnd, RunName, TaskRef, Worker
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.scheduling import Assignment
@@ -84,12 +84,13 @@
         if worker.availability_zone in self._deps.operator().zones_out:
             return False
         # The entry of another incarnation does not tell this one's capacity.
-        return registered.born_ms == worker.born_ms and self._fits(run, registered)
+        known = registered.born_ms == worker.born_ms
+        return self._fits(run, registered.capacity if known else None)
 
-    def _fits(self, run: Run, registered: Worker) -> bool:
-        """Return whether all runs on a worker, with this one, fit its latest capacity."""
-        reserved = self._deps.tracker.reserved_on(registered.worker_id)
-        if reserved.fits(registered.capacity):
+    def _fits(self, run: Run, capacity: Resources | None) -> bool:
+        """Return whether all runs on a worker, with this one, fit its capacity, if it is known."""
+        reserved = self._deps.tracker.reserved_on(run.worker_id)
+        if capacity is not None and reserved.fits(capacity):
             return True
         logger.info(
             "start_withheld",
@@ -97,9 +98,9 @@
                 "request": run.name.job_id,
                 "task": list(run.name.task),
                 "run": run.name.run,
-                "worker": registered.worker_id,
+                "worker": run.worker_id,
                 "reserved": astuple(reserved),
-                "capacity": astuple(registered.capacity),
+                "capacity": None if capacity is None else astuple(capacity),
             },
         )
         return False
--- a/libs/coordinator/tests/test_starts.py
+++ b/libs/coordinator/tests/test_starts.py
@@ -75,7 +75,9 @@
         """Guards against starts over the capacity of a worker that came back as a smaller one."""
         (run,) = self.begin(0)
         registry = {"w1": worker(born_ms=1)}
-        self.assertFalse(starter(self.tracker, registry).may_start(run, worker(born_ms=2)))
+        with self.assertLogs("hornbeamfold.coordinator.starts", "INFO") as logs:
+            self.assertFalse(starter(self.tracker, registry).may_start(run, worker(born_ms=2)))
+        self.assertEqual([each.getMessage() for each in logs.records], ["start_withheld"])
         registry["w1"] = worker(born_ms=2)
         self.assertTrue(starter(self.tracker, registry).may_start(run, worker(born_ms=2)))
 
