--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -1,9 +1,9 @@
 """Starts planned runs: records them first, then sends the orders, which are checked again."""
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 
-from hornbeamfold.batch import Clock, OperatorState, RunEnd, RunName, TaskRef, Worker
+from hornbeamfold.batch import Clock, OperatorState, Resources, RunEnd, RunName, TaskRef, Worker
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.scheduling import Assignment
@@ -78,21 +78,60 @@
         current = self._deps.tracker.runs.get(run.name)
         if current is None or current.stop_reason or run.name.job_id not in self._deps.tracker.jobs:
             return False
-        if worker.draining or worker.worker_id not in self._deps.registry():
+        registered = self._deps.registry().get(worker.worker_id)
+        if worker.draining or registered is None:
             return False
-        return worker.availability_zone not in self._deps.operator().zones_out
+        if worker.availability_zone in self._deps.operator().zones_out:
+            return False
+        # The entry of another incarnation does not tell this one's capacity.
+        known = registered.born_ms == worker.born_ms
+        return self._fits(run, registered.capacity if known else None)
+
+    def _fits(self, run: Run, capacity: Resources | None) -> bool:
+        """Return whether all runs on a worker, with this one, fit its capacity, if it is known."""
+        reserved = self._deps.tracker.reserved_on(run.worker_id)
+        if capacity is not None and reserved.fits(capacity):
+            return True
+        logger.info(
+            "start_withheld",
+            extra={
+                "request": run.name.job_id,
+                "task": list(run.name.task),
+                "run": run.name.run,
+                "worker": run.worker_id,
+                "reserved": astuple(reserved),
+                "capacity": None if capacity is None else astuple(capacity),
+            },
+        )
+        return False
 
     def _send_orders(self, runs: Sequence[Run]) -> None:
         """Send the start orders of runs that have been stored."""
         if not self._deps.is_active():
             return
+        withheld = self._withheld_gangs(runs)
         for run in runs:
             tracked = self._deps.tracker.jobs.get(run.name.job_id)
             session = self._deps.sessions.get(run.worker_id)
             current = self._deps.tracker.runs.get(run.name)
             if current is None:
                 continue
-            if tracked is None or session is None:
+            if tracked is None or session is None or _step_key(run) in withheld:
                 self._deps.end(run.name, RunEnd.LOST)
                 continue
             session.orders.start(current, tracked.job.payload)
+
+    def _withheld_gangs(self, runs: Sequence[Run]) -> set[tuple[str, int, int]]:
+        """Return the gangs with a member that may not start, so that no member is started."""
+        withheld: set[tuple[str, int, int]] = set()
+        for run in runs:
+            session = self._deps.sessions.get(run.worker_id)
+            if session is None or not self._deps.tracker.is_gang_member(run.name):
+                continue
+            if not self.may_start(run, session.worker):
+                withheld.add(_step_key(run))
+        return withheld
+
+
+def _step_key(run: Run) -> tuple[str, int, int]:
+    return run.name.job_id, run.name.task.occurrence, run.name.task.step
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -1,7 +1,7 @@
 """A coordinator's term: plans runs, records progress and manages the worker sessions."""
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 
 import eventlet
 from eventlet.event import Event
@@ -257,7 +257,9 @@
         for worker_id, worker in registry.items():
             session = self._sessions.get(worker_id)
             if session is not None:
+                before = session.worker
                 session.update(worker)
+                self._log_capacity_change(before, session.worker)
                 continue
             self._open_session(worker)
         for worker_id, session in tuple(self._sessions.items()):
@@ -268,6 +270,19 @@
                 session.close()
                 del self._sessions[worker_id]
 
+    def _log_capacity_change(self, before: Worker, after: Worker) -> None:
+        if before.capacity == after.capacity:
+            return
+        logger.info(
+            "worker_capacity_changed",
+            extra={
+                "worker": after.worker_id,
+                "was": astuple(before.capacity),
+                "capacity": astuple(after.capacity),
+                "reserved": astuple(self._tracker.reserved_on(after.worker_id)),
+            },
+        )
+
     def _open_session(self, worker: Worker) -> None:
         session = Session(
             worker,
@@ -281,6 +296,12 @@
         self._sessions[worker.worker_id] = session
         eventlet.spawn_n(log_exceptions(session.run))
 
+    def _unread_runs(self) -> Mapping[RunName, str]:
+        """Return the workers of runs whose jobs are not read yet, as long as those may be alive."""
+        if self._deps.clock() >= self._orphan_deadline_ms:
+            return {}
+        return self._intake.unread_runs
+
     def _end_orphans(self) -> None:
         """End runs on workers without a session once their leases have certainly expired."""
         if self._deps.clock() < self._orphan_deadline_ms:
@@ -295,13 +316,15 @@
         """Reconcile the runs that a worker reports with the job tracker."""
         worker = session.worker
         reported: set[RunName] = set()
+        unread = self._unread_runs()
         unknown = 0
         for task in report.running:
             reported.add(task.name)
             run = self._tracker.runs.get(task.name)
             if run is None or run.worker_id != worker.worker_id:
                 unknown += 1
-                session.orders.stop_unknown_run(task.name)
+                if task.name not in unread:
+                    session.orders.stop_unknown_run(task.name)
                 continue
             self._tracker.settle(task.name)
             self._tracker.set_incarnation(task.name, worker.born_ms)
@@ -350,6 +373,8 @@
     def _on_not_started(self, run: Run, reason: Refusal) -> None:
         if reason in (Refusal.UNHEALTHY, Refusal.UNREACHABLE):
             self._health.exclude(run.worker_id, reason.value)
+        if reason is Refusal.NO_ROOM:
+            self._health.refused_room(run.worker_id)
         self._end_run(run.name, RunEnd.LOST)
         if reason is Refusal.GONE and (session := self._sessions.get(run.worker_id)):
             self._on_runs_lost(session, RunsLost.ANOTHER_ANSWERS)
@@ -390,9 +415,14 @@
     def _plan_once(self) -> None:
         began = self._deps.clock()
         operator = self._deps.operator()
-        candidates = candidate_workers(
-            self._sessions.values(), self._tracker, self._health, operator
-        )
+        # What runs of unread jobs reserve is not known.
+        unread_workers = set(self._unread_runs().values())
+        sessions = [
+            session
+            for worker_id, session in self._sessions.items()
+            if worker_id not in unread_workers
+        ]
+        candidates = candidate_workers(sessions, self._tracker, self._health, operator)
         steps = ready_steps(
             self._tracker, operator, self._deps.wall(), began, self._deps.bounds, len(candidates)
         )
