--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -18,6 +18,7 @@
 ]
 # From the lowest layer to the highest; a library may import only those before it.
 DEPENDENCY_ORDER = (
+    "decoding",
     "model",
     "telemetry",
     "settings",
