Call the long-lived threads of an instance again after an exception

Seen: an unexpected exception in the thread that follows the operator's objects, the jobs or the list of workers, that looks the relay up, or that runs the election was logged, and the thread was gone; the process went on without it for good. An instance without the list of workers lost runs, and one without the operator's objects refused all calls.

Change: `keep_running` logs and counts the exception, pauses for a second and calls the function again; each of the five goes on from the state that it left.

--- a/libs/telemetry/src/hornbeamfold/telemetry/__init__.py
+++ b/libs/telemetry/src/hornbeamfold/telemetry/__init__.py
@@ -10,7 +10,7 @@
     metrics_text,
     setup_metrics,
 )
-from hornbeamfold.telemetry.threads import log_exceptions
+from hornbeamfold.telemetry.threads import keep_running, log_exceptions, report_unexpected
 
 __all__ = [
     "Recorder",
@@ -20,8 +20,10 @@
     "get_logger",
     "histogram",
     "install_invariant_reporter",
+    "keep_running",
     "log_decision",
     "log_exceptions",
     "metrics_text",
+    "report_unexpected",
     "setup_metrics",
 ]
