Skip odd records of our own topics, and jobs that cannot be planned

Seen: a record with deep nesting raised RecursionError in the thread that follows the jobs; epochs and progress with negative or huge numbers were taken in. A stored job with 10^12 repetitions or with a step that depends on itself was given to the planner of each coordinator in turn, and a job under the key of another made two jobs with one id.

Change: the codec decodes by `decoding`, and `batch.job_problem` says why a job cannot be planned.

--- a/libs/batch/src/hornbeamfold/batch/__init__.py
+++ b/libs/batch/src/hornbeamfold/batch/__init__.py
@@ -17,6 +17,10 @@
     Queue,
     Service,
 )
+from hornbeamfold.batch.plannable import (
+    MAX_TASKS,
+    job_problem,
+)
 from hornbeamfold.batch.ports import (
     Accepted,
     AppendOutcome,
@@ -65,6 +69,7 @@
 )
 
 __all__ = [
+    "MAX_TASKS",
     "NOT_STARTED",
     "TERMINAL_STATES",
     "Accepted",
@@ -113,5 +118,6 @@
     "Worker",
     "WorkerPort",
     "elapsed_ms",
+    "job_problem",
     "unix_ms",
 ]
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -19,7 +19,9 @@
     TaskPhase,
     TaskProgress,
     TaskRef,
+    job_problem,
 )
+from hornbeamfold.decoding import Count, DecodeError, decode_json
 
 JOB_PREFIX = "job/"
 CANCEL_PREFIX = "cancel/"
@@ -33,7 +35,7 @@
     """The incarnation of the instance that coordinates, with its epoch."""
 
     incarnation: str
-    epoch: int
+    epoch: Count
     resigned: bool = False
 
 
@@ -47,9 +49,11 @@
     """
 
     state: JobState
-    done: list[tuple[int, int, list[int]]] = field(default_factory=list)
-    active: list[tuple[int, int, int, int, str, int, int, str]] = field(default_factory=list)
-    waiting: list[tuple[int, int, int, int, int, str]] = field(default_factory=list)
+    done: list[tuple[Count, Count, list[Count]]] = field(default_factory=list)
+    active: list[tuple[Count, Count, Count, Count, str, Count, Count, str]] = field(
+        default_factory=list
+    )
+    waiting: list[tuple[Count, Count, Count, Count, Count, str]] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -63,8 +67,12 @@
 
 
 def decode_job(value: bytes) -> BatchJob:
-    """Return the job of a record; raises msgspec.MsgspecError if the value is malformed."""
-    return msgspec.json.decode(value, type=BatchJob)
+    """Return the job of a record; raises DecodeError if it is malformed or cannot be planned."""
+    job = decode_json(value, BatchJob)
+    problem = job_problem(job)
+    if problem:
+        raise DecodeError(problem)
+    return job
 
 
 def encode_cancel(job_id: str, organisation: str) -> KeyedRecord:
@@ -78,8 +86,8 @@
 
 
 def decode_coordinator(value: bytes) -> CoordinatorRecord:
-    """Return the coordinator of a record; raises msgspec.MsgspecError if the value is malformed."""
-    return msgspec.json.decode(value, type=CoordinatorRecord)
+    """Return the coordinator of a record; raises DecodeError if the value is malformed."""
+    return decode_json(value, CoordinatorRecord)
 
 
 def encode_state(job_id: str, state: JobState) -> KeyedRecord:
@@ -88,8 +96,8 @@
 
 
 def decode_state(value: bytes) -> JobState:
-    """Return the job state of a record; raises msgspec.MsgspecError if the value is malformed."""
-    return msgspec.json.decode(value, type=_State).state
+    """Return the job state of a record; raises DecodeError if the value is malformed."""
+    return decode_json(value, _State).state
 
 
 def encode_progress_tombstone(job_id: str) -> KeyedRecord:
@@ -130,8 +138,8 @@
 
 
 def decode_progress(value: bytes) -> JobProgress:
-    """Return the progress of a record; raises msgspec.MsgspecError if the value is malformed."""
-    document = msgspec.json.decode(value, type=_Progress)
+    """Return the progress of a record; raises DecodeError if the value is malformed."""
+    document = decode_json(value, _Progress)
     tasks: dict[TaskRef, TaskProgress] = {}
     for occurrence, step, indexes in document.done:
         for index in indexes:
--- a/libs/ledger/src/hornbeamfold/ledger/progress.py
+++ b/libs/ledger/src/hornbeamfold/ledger/progress.py
@@ -1,8 +1,7 @@
 """Loads the progress of all jobs from the topic that only the coordinator writes."""
 
-import msgspec
-
 from hornbeamfold.batch import JobProgress, ReadFailed, TopicPort
+from hornbeamfold.decoding import DecodeError
 from hornbeamfold.ledger.codec import PROGRESS_PREFIX, decode_progress
 from hornbeamfold.telemetry import get_logger
 
@@ -25,7 +24,7 @@
                 continue
             try:
                 found[record.key.removeprefix(PROGRESS_PREFIX)] = decode_progress(record.value)
-            except msgspec.MsgspecError as error:
+            except DecodeError as error:
                 logger.error(
                     "record_unreadable",
                     extra={"key": record.key, "offset": record.offset, "error": str(error)},
--- a/libs/ledger/src/hornbeamfold/ledger/replica.py
+++ b/libs/ledger/src/hornbeamfold/ledger/replica.py
@@ -5,9 +5,8 @@
 
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from hornbeamfold.batch import TERMINAL_STATES, BatchJob, JobState, KeyedRecord
+from hornbeamfold.decoding import DecodeError
 from hornbeamfold.ledger.codec import (
     CANCEL_PREFIX,
     COORDINATOR_KEY,
@@ -91,7 +90,7 @@
             self._offsets[record.key] = record.offset
             try:
                 from_coordinator |= self._apply(record)
-            except msgspec.MsgspecError as error:
+            except DecodeError as error:
                 logger.error(
                     "record_unreadable",
                     extra={"key": record.key, "offset": record.offset, "error": str(error)},
@@ -110,7 +109,10 @@
             self._update_pending(job_id)
             return True
         if kind + separator == JOB_PREFIX and job_id not in self._jobs:
-            self._jobs[job_id] = decode_job(record.value)
+            job = decode_job(record.value)
+            if job.job_id != job_id:
+                raise DecodeError("the record holds a job with another id")
+            self._jobs[job_id] = job
             self._notify_listeners(job_id)
         if kind + separator == CANCEL_PREFIX and job_id not in self._cancelled:
             self._cancelled.add(job_id)
--- a/libs/ledger/tests/test_codec.py
+++ b/libs/ledger/tests/test_codec.py
@@ -1,6 +1,10 @@
 """Tests of the record codec."""
 
 import unittest
+from collections.abc import Callable
+from dataclasses import replace
+
+import msgspec
 
 from hornbeamfold.batch import (
     BatchJob,
@@ -11,8 +15,14 @@
     TaskProgress,
     TaskRef,
 )
+from hornbeamfold.decoding import DecodeError
 from hornbeamfold.ledger import CoordinatorRecord, encode_coordinator, encode_job, encode_progress
-from hornbeamfold.ledger.codec import decode_coordinator, decode_job, decode_progress
+from hornbeamfold.ledger.codec import (
+    decode_coordinator,
+    decode_job,
+    decode_progress,
+    decode_state,
+)
 
 STEPS = (
     Step(2, Resources(1_000, 2_000, 3), 500, gang=True, preferred_rack="r1"),
@@ -46,5 +56,62 @@
         self.assertEqual(dict(decode_progress(value).tasks), {})
 
 
+class OddRecordsTest(unittest.TestCase):
+    def test_odd_records_of_every_kind_raise_one_error(self) -> None:
+        """Guards against records of another program that end the thread which follows them."""
+        deep = b'{"odd":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        decoders: tuple[Callable[[bytes], object], ...] = (
+            decode_job,
+            decode_coordinator,
+            decode_state,
+            decode_progress,
+        )
+        for decode in decoders:
+            for value in (b"", b"[]", b"{}", b"7", b"\xff", deep, b"{" * 100_000):
+                with (
+                    self.subTest(decode=decode.__name__, value=value[:20]),
+                    self.assertRaises(DecodeError),
+                ):
+                    decode(value)
+
+    def test_jobs_that_cannot_be_planned_are_odd(self) -> None:
+        """Guards against a stored job whose planning fails, or never ends, in every coordinator."""
+        step = STEPS[0]
+        odd = {
+            "no steps": replace(JOB, steps=()),
+            "no tasks": replace(JOB, steps=(replace(step, count=0),)),
+            "too many tasks": replace(JOB, steps=(replace(step, count=10**9),)),
+            "endless repetitions": replace(JOB, repetitions=10**12),
+            "depends on itself": replace(JOB, steps=(replace(step, after=(0,)),)),
+            "depends on a later step": replace(JOB, steps=(replace(step, after=(1,)), step)),
+            "depends on no step": replace(JOB, steps=(replace(step, after=(-1,)),)),
+            "huge demand": replace(JOB, steps=(replace(step, demand=Resources(10**400)),)),
+            "huge estimate": replace(JOB, steps=(replace(step, estimate_ms=10**400),)),
+            "huge time": replace(JOB, start_at_ms=10**400),
+            "huge interval": replace(JOB, interval_ms=10**400),
+            "huge slack": replace(JOB, slack_ms=10**400),
+            "huge stretch": replace(JOB, stretch=1e308),
+        }
+        for name, job in odd.items():
+            with self.subTest(name), self.assertRaises(DecodeError):
+                decode_job(msgspec.json.encode(job))
+
+    def test_numbers_of_a_coordinator_or_of_progress_have_a_range(self) -> None:
+        for epoch in (b"-1", b"1e3", b"9" * 30, b"9" * 5_000):
+            with self.subTest(epoch=epoch[:10]), self.assertRaises(DecodeError):
+                decode_coordinator(b'{"incarnation":"i","epoch":' + epoch + b"}")
+        for number in (b"-1", b"1.5", b"9" * 30):
+            for rows in (
+                b'"done":[[0,0,[%s]]]',
+                b'"done":[[0,%s,[0]]]',
+                b'"active":[[0,0,0,%s,"w",7,0,""]]',
+                b'"active":[[0,0,0,1,"w",%s,0,""]]',
+                b'"waiting":[[%s,0,0,1,0,""]]',
+            ):
+                value = b'{"state":"running",' + rows % number + b"}"
+                with self.subTest(value[:60]), self.assertRaises(DecodeError):
+                    decode_progress(value)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/ledger/tests/test_replica.py
+++ b/libs/ledger/tests/test_replica.py
@@ -80,6 +80,22 @@
         self.replica.apply([*malformed, at(2, encode_job(JOB))])
         self.assertEqual(list(self.replica.job_ids), ["a"])
 
+    def test_odd_records_are_skipped_and_the_others_hold(self) -> None:
+        deep = b'{"odd":' + b"[" * 100_000
+        odd = [
+            KeyedRecord(key, deep, offset)
+            for offset, key in enumerate(("job/x", "state/a", "coordinator", "", "job/", "cancel"))
+        ]
+        self.replica.apply([*odd, at(6, encode_job(JOB)), at(7, state(JobState.RUNNING))])
+        self.assertEqual(list(self.replica.job_ids), ["a"])
+        self.assertEqual(self.replica.state("a"), JobState.RUNNING)
+
+    def test_a_job_under_the_key_of_another_is_skipped(self) -> None:
+        """Guards against two jobs that share one id in the coordinator."""
+        value = encode_job(JOB).value
+        self.replica.apply([KeyedRecord("job/b", value, 0), KeyedRecord("job/", value, 1)])
+        self.assertEqual(list(self.replica.job_ids), [])
+
 
 class ScriptedTopic:
     """A fake topic that returns prepared results."""
