Go on with a topic after a record whose application raises

Seen: an exception while a record is applied ended the follower's thread, and a listener that failed for one job hid all later records from everybody.

Change: the follower applies the records of a read one by one after an exception. The record that raises is logged with its key and offset and counted, and the others are applied; the position moves on, so that nothing is read in a loop. The replica contains and logs the failure of a listener in the same way.

Measured before the change: test_a_record_whose_application_raises_does_ not_hide_the_others and test_a_listener_that_fails_does_not_keep_others_ from_a_job failed; both pass after it.

--- a/libs/ledger/src/hornbeamfold/ledger/follower.py
+++ b/libs/ledger/src/hornbeamfold/ledger/follower.py
@@ -6,7 +6,7 @@
 from eventlet.event import Event
 
 from hornbeamfold.batch import Clock, KeyedRecord, ReadFailed, Records, TopicPort, Trimmed
-from hornbeamfold.telemetry import get_logger
+from hornbeamfold.telemetry import get_logger, report_unexpected
 
 logger = get_logger("hornbeamfold.ledger.follower")
 
@@ -14,6 +14,7 @@
 # immediate.
 RETRY_MS = 150
 
+# Records may be applied again after an error, with the later ones following.
 ApplyRecords = Callable[[Sequence[KeyedRecord]], None]
 # Called after each read with the time at which all records were last known, or with None if the
 # read failed.
@@ -132,7 +133,7 @@
                 break
             after = page.records[-1].key
         self._on_reload()
-        self._apply(records)
+        self._apply_each(records)
         self._next_offset = self._end_offset = snapshot_end
         self._record_success(confirmed_ms)
         logger.info("topic_loaded", extra={"topic": self._name, "next_offset": snapshot_end})
@@ -163,12 +164,34 @@
 
     def _apply_records(self, outcome: Records) -> None:
         if outcome.records:
-            self._apply(outcome.records)
+            self._apply_each(outcome.records)
         if self._next_offset is None or outcome.next_offset > self._next_offset:
             self._next_offset = self._end_offset = outcome.next_offset
         confirmed = outcome.confirmed_ms if outcome.next_offset >= outcome.end else None
         self._record_success(confirmed)
 
+    def _apply_each(self, records: Sequence[KeyedRecord]) -> None:
+        """Apply records; one that raises an error is logged and keeps no other from being applied.
+
+        Most records raise none, so they are applied one by one only after an error.
+        """
+        try:
+            self._apply(records)
+            return
+        except Exception:
+            logger.warning(
+                "records_applied_singly",
+                extra={"topic": self._name, "records": len(records)},
+                exc_info=True,
+            )
+        for record in records:
+            try:
+                self._apply((record,))
+            except Exception:
+                report_unexpected(
+                    "apply_record", topic=self._name, key=record.key, offset=record.offset
+                )
+
     def _record_success(self, confirmed_ms: int | None) -> None:
         if confirmed_ms is not None and confirmed_ms > (self._confirmed_ms or 0):
             self._confirmed_ms = confirmed_ms
--- a/libs/ledger/src/hornbeamfold/ledger/replica.py
+++ b/libs/ledger/src/hornbeamfold/ledger/replica.py
@@ -17,7 +17,7 @@
     decode_job,
     decode_state,
 )
-from hornbeamfold.telemetry import get_logger
+from hornbeamfold.telemetry import get_logger, report_unexpected
 
 logger = get_logger("hornbeamfold.ledger.replica")
 
@@ -122,7 +122,10 @@
     def _notify_listeners(self, job_id: str) -> None:
         self._update_pending(job_id)
         for listener in tuple(self._listeners):
-            listener(job_id)
+            try:
+                listener(job_id)
+            except Exception:  # one job must not hide the later ones from the listener
+                report_unexpected("job_listener", request=job_id)
 
     def _update_pending(self, job_id: str) -> None:
         job = self._jobs.get(job_id)
--- a/libs/ledger/tests/test_replica.py
+++ b/libs/ledger/tests/test_replica.py
@@ -96,6 +96,22 @@
         self.replica.apply([KeyedRecord("job/b", value, 0), KeyedRecord("job/", value, 1)])
         self.assertEqual(list(self.replica.job_ids), [])
 
+    def test_a_listener_that_fails_does_not_keep_others_from_a_job(self) -> None:
+        """Guards against one job that a coordinator cannot add and that hides all later ones."""
+        seen: list[str] = []
+
+        def fail(job_id: str) -> None:
+            raise RecursionError(job_id)
+
+        self.replica.add_listener(fail)
+        self.replica.add_listener(seen.append)
+        with self.assertLogs("hornbeamfold.threads", "ERROR") as logs:
+            self.replica.apply(
+                [at(0, encode_job(JOB)), at(1, encode_job(replace(JOB, job_id="b")))]
+            )
+        self.assertEqual(seen, ["a", "b"])
+        self.assertEqual([line.__dict__["request"] for line in logs.records], ["a", "b"])
+
 
 class ScriptedTopic:
     """A fake topic that returns prepared results."""
@@ -161,6 +177,31 @@
         self.assertFalse(follower.read(0))
         self.assertEqual((follower.end_offset, len(self.reloads)), (30, 1))
 
+    def test_a_record_whose_application_raises_does_not_hide_the_others(self) -> None:
+        """Guards against a topic that is no longer followed after one record."""
+        applied: list[str] = []
+
+        def apply(records: Sequence[KeyedRecord]) -> None:
+            for record in records:
+                if record.value == b"odd":
+                    raise RecursionError(record.key)
+                applied.append(record.key)
+
+        records = tuple(
+            KeyedRecord(key, value, 10 + offset)
+            for offset, (key, value) in enumerate((("a", b"1"), ("x", b"odd"), ("b", b"1")))
+        )
+        topic = ScriptedTopic([Records(records, 13, 13, 800), Records(records[2:], 14, 14, 900)])
+        follower = Follower("test", topic.port(), apply, lambda: 1_000, lambda: 0, 0)
+        self.assertTrue(follower.load())
+        with self.assertLogs("hornbeamfold.threads", "ERROR") as logs:
+            self.assertTrue(follower.read(0))
+        self.assertEqual(applied[-2:], ["a", "b"])
+        self.assertEqual([line.__dict__["key"] for line in logs.records], ["x"])
+        self.assertEqual(follower.end_offset, 13)
+        self.assertTrue(follower.read(0))
+        self.assertEqual(follower.confirmed_ms, 900)
+
     def test_hooks_are_called_after_every_read(self) -> None:
         follower = self.follower(Records((), 10, 10, 800), ReadFailed("down"))
         seen: list[int | None] = []
