Read the store when the relay of the region answers oddly

Seen: a page or a relay's record with deep nesting raised RecursionError in the follower or in the thread that looks the relay up; a page with a negative age, or one held for longer than its call took, confirmed a time in the future, so that the reader counted itself current for ever; a record with port named a relay.

Change: pages and records are decoded by `decoding` with ranges, and a page confirms no time later than now.

Measured before the change: 6 of 8 pages, 2 of 5 records of relays and test_a_page_held_for_longer_than_the_call_confirms_no_later_time failed; all pass after it.

--- a/libs/relay/src/hornbeamfold/relay/codec.py
+++ b/libs/relay/src/hornbeamfold/relay/codec.py
@@ -5,6 +5,14 @@
 import msgspec
 
 from hornbeamfold.batch import KeyedRecord
+from hornbeamfold.decoding import (
+    MAX_INTEGER,
+    Count,
+    DecodeError,
+    check_address,
+    decode_json,
+    decode_msgpack,
+)
 
 RELAY_KEY_PREFIX = "relay/"
 
@@ -18,9 +26,9 @@
     """
 
     records: tuple[KeyedRecord, ...]
-    end: int
-    age_ms: int
-    held_ms: int
+    end: Count
+    age_ms: Count
+    held_ms: Count
 
 
 @dataclass(frozen=True)
@@ -38,8 +46,11 @@
 
 
 def decode_page(data: bytes) -> Page:
-    """Return the page that a response body contains; raises msgspec.MsgspecError."""
-    return msgspec.msgpack.decode(data, type=Page)
+    """Return the page that a response body contains; raises DecodeError."""
+    page = decode_msgpack(data, Page)
+    if any(not 0 <= record.offset <= MAX_INTEGER for record in page.records):
+        raise DecodeError("the offset of a record is out of range")
+    return page
 
 
 def encode_relay(record: RelayRecord) -> KeyedRecord:
@@ -48,5 +59,7 @@
 
 
 def decode_relay(value: bytes) -> RelayRecord:
-    """Return the relay that the value of a record names; raises msgspec.MsgspecError."""
-    return msgspec.json.decode(value, type=RelayRecord)
+    """Return the relay that the value of a record names; raises DecodeError."""
+    relay = decode_json(value, RelayRecord)
+    check_address(relay.address)
+    return relay
--- a/libs/relay/src/hornbeamfold/relay/directory.py
+++ b/libs/relay/src/hornbeamfold/relay/directory.py
@@ -8,9 +8,9 @@
 from random import Random
 
 import eventlet
-import msgspec
 
 from hornbeamfold.batch import Clock, ReadFailed, TopicPort
+from hornbeamfold.decoding import DecodeError
 from hornbeamfold.relay.codec import RELAY_KEY_PREFIX, RelayRecord, decode_relay, encode_relay
 from hornbeamfold.telemetry import get_logger
 
@@ -117,7 +117,7 @@
     def _update_relay(self, value: bytes) -> None:
         try:
             relay_record = decode_relay(value)
-        except msgspec.MsgspecError as error:
+        except DecodeError as error:
             logger.error("relay_unreadable", extra={"error": str(error)})
             return
         if relay_record == self._relay:
--- a/libs/relay/src/hornbeamfold/relay/port.py
+++ b/libs/relay/src/hornbeamfold/relay/port.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-import msgspec
-
 from hornbeamfold.batch import (
     Clock,
     NewestPage,
@@ -13,6 +11,7 @@
     Records,
     TopicPort,
 )
+from hornbeamfold.decoding import DecodeError
 from hornbeamfold.relay.codec import Page, decode_page
 from hornbeamfold.relay.directory import Directory
 from hornbeamfold.relay.server import MAX_AGE_MS, RELAY_PATH
@@ -42,7 +41,7 @@
         body = fetch(address, RELAY_PATH + topic, query, wait_ms + FETCH_TIMEOUT_MS)
         try:
             page = None if body is None else decode_page(body)
-        except msgspec.MsgspecError:
+        except DecodeError:
             page = None
         if page is None or page.age_ms > MAX_AGE_MS:
             directory.record_failure(
@@ -51,7 +50,7 @@
             return None
         directory.record_success()
         # The relay answered no earlier than `held_ms` after the call was sent.
-        return page, sent_ms + page.held_ms - page.age_ms
+        return page, min(clock(), sent_ms + page.held_ms) - page.age_ms
 
     def read(from_offset: int, wait_ms: int) -> ReadOutcome:
         address = "" if wants_direct() else directory.relay_address()
--- a/libs/relay/tests/test_relay.py
+++ b/libs/relay/tests/test_relay.py
@@ -26,7 +26,13 @@
     answer_read,
     relayed_port,
 )
-from hornbeamfold.relay.codec import Page, decode_page, encode_page, encode_relay  # noqa: E402
+from hornbeamfold.relay.codec import (  # noqa: E402
+    RELAY_KEY_PREFIX,
+    Page,
+    decode_page,
+    encode_page,
+    encode_relay,
+)
 from hornbeamfold.relay.directory import BACKOFF_MS, FAILOVER_MS, SLOW_INSTANCE_DELAY_MS  # noqa: E402
 from hornbeamfold.relay.server import MAX_AGE_MS  # noqa: E402
 
@@ -90,7 +96,11 @@
 
     def claim(self, record: RelayRecord) -> None:
         """Append the claim of another instance."""
-        self._relays.append(replace(encode_relay(record), offset=len(self._relays)))
+        self.put(encode_relay(record))
+
+    def put(self, record: KeyedRecord) -> None:
+        """Append a record to the topic of relays."""
+        self._relays.append(replace(record, offset=len(self._relays)))
 
     def port(self) -> TopicPort:
         """Return the port to the topic of relays."""
@@ -142,6 +152,25 @@
         self.advance_clock(BACKOFF_MS + 400)
         self.assertEqual(slow.relay_address(), "fast:7000")
 
+    def test_an_odd_record_of_a_relay_names_none_and_is_replaced(self) -> None:
+        """Guards against a record that ends the thread which looks the relay up."""
+        odd = [
+            b'{"odd":' + b"[" * 100_000,
+            b"\xff",
+            b"{}",
+            encode_relay(RelayRecord(REGION, "odd", "odd:99999999")).value,
+            encode_relay(RelayRecord(REGION, "odd", "")).value,
+        ]
+        for value in odd:
+            with self.subTest(value[:20]):
+                self.store = Store()
+                self.store.put(KeyedRecord(RELAY_KEY_PREFIX + REGION, value))
+                directory = self.directory("fast")
+                eventlet.sleep(0.05)
+                self.assertEqual(directory.relay_address(), "")
+                self.advance_clock(FAILOVER_MS + 1_200)
+                self.assertTrue(directory.is_relay)
+
     def test_a_relay_that_fails_is_avoided_for_a_time_and_then_replaced(self) -> None:
         self.store.claim(RelayRecord(REGION, "dead", "dead:7000"))
         directory = self.directory("slow", 0.5)
@@ -210,6 +239,36 @@
                 self.assertEqual(self.directory.relay_address(), "")
                 self.now += BACKOFF_MS
 
+    def test_the_store_is_read_when_the_relay_answers_oddly(self) -> None:
+        """Guards against a peer's page that raises in the follower or counts as newer than now."""
+        valid = Page((), 8, 0, 0)
+        bodies = {
+            "too deep": b"\x81\xa3odd" + b"\x91" * 100_000,
+            "empty": b"",
+            "not UTF-8": encode_page(replace(valid, records=(record("KEY", b"v", 7),))).replace(
+                b"KEY", b"\xff\xff\xff"
+            ),
+            "negative end": encode_page(replace(valid, end=-1)),
+            "huge end": encode_page(replace(valid, end=2**63)),
+            "negative age": encode_page(replace(valid, age_ms=-100_000)),
+            "negative time": encode_page(replace(valid, held_ms=-1)),
+            "negative offset": encode_page(replace(valid, records=(record("k", b"v", -7),))),
+        }
+        for name, body in bodies.items():
+            with self.subTest(name):
+                self.body = body
+                before = self.store.reads
+                self.port.read(7, 100)
+                self.assertEqual(self.store.reads, before + 1)
+                self.now += BACKOFF_MS
+
+    def test_a_page_held_for_longer_than_the_call_confirms_no_later_time(self) -> None:
+        """Guards against an instance that counts itself as current for ever."""
+        self.body = self.page(8, age_ms=0, held_ms=1_000_000)
+        found = self.port.read(7, 100)
+        assert isinstance(found, Records)
+        self.assertLessEqual(found.confirmed_ms, self.now)
+
     def test_an_instance_that_coordinates_reads_the_store(self) -> None:
         self.direct = True
         self.body = self.page(8, 0, 0)
