Fail the calls whose log answers and records are odd

Seen: a record, or an answer of the log service, with deep nesting raised RecursionError in the thread that reads or appends; offsets below 0 or of 30 digits were taken in.

Change: the log client and the codec decode by `decoding`; an odd answer is a LogFailure, an odd record is skipped as before. The replacement of records that cannot be decoded has a function of its own, `decode_entries`.

--- a/libs/logclient/src/hornbeamfold/logclient/__init__.py
+++ b/libs/logclient/src/hornbeamfold/logclient/__init__.py
@@ -1,6 +1,6 @@
 """Client of the log service and the codec of its records."""
 
-from hornbeamfold.logclient.client import EMPTY_RECORD, LogClient
+from hornbeamfold.logclient.client import LogClient
 from hornbeamfold.logclient.codec import (
     MAX_RECORD_BYTES,
     UndecodableRecordError,
@@ -9,6 +9,7 @@
     encoded_size,
     split_events,
 )
+from hornbeamfold.logclient.entries import EMPTY_RECORD, decode_entries
 from hornbeamfold.logclient.follow import follow
 from hornbeamfold.logclient.outcomes import (
     Appended,
@@ -40,6 +41,7 @@
     "SkippedRecord",
     "Ticket",
     "UndecodableRecordError",
+    "decode_entries",
     "decode_record",
     "encode_record",
     "encoded_size",
--- a/libs/logclient/src/hornbeamfold/logclient/client.py
+++ b/libs/logclient/src/hornbeamfold/logclient/client.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from msgspec import DecodeError, ValidationError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 from urllib3 import HTTPConnectionPool, Timeout, connection_from_url
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -14,7 +13,8 @@
 )
 from urllib3.response import BaseHTTPResponse
 
-from hornbeamfold.logclient.codec import UndecodableRecordError, decode_record
+from hornbeamfold.decoding import Count, DecodeError, decode_json
+from hornbeamfold.logclient.entries import decode_entries
 from hornbeamfold.logclient.outcomes import (
     Appended,
     AppendOutcome,
@@ -23,9 +23,7 @@
     LogFailure,
     ReadOutcome,
     ReadResult,
-    SkippedRecord,
 )
-from hornbeamfold.model.events import Entry, Record
 
 CONNECT_TIMEOUT_MS = 1_000
 APPEND_TIMEOUT_MS = 2_000
@@ -35,13 +33,11 @@
 READ_CONNECTIONS = 2
 # After one of these statuses, sending the same record again would fail again.
 REJECTED_STATUSES = (400, 413)
-# Replaces a record that cannot be decoded; the fold ignores it but advances past its offset.
-EMPTY_RECORD = Record("", 0, ())
 
 
 @dataclass(frozen=True)
 class _StoredRecord:
-    offset: int
+    offset: Count
     at_ms: int
     data: str
 
@@ -49,19 +45,19 @@
 @dataclass(frozen=True)
 class _ReadReply:
     records: tuple[_StoredRecord, ...]
-    first: int
-    end: int
+    first: Count
+    end: Count
 
 
 @dataclass(frozen=True)
 class _ExpiredReply:
-    first: int
-    end: int
+    first: Count
+    end: Count
 
 
 @dataclass(frozen=True)
 class _AppendReply:
-    offset: int
+    offset: Count
 
 
 class LogClient:
@@ -95,8 +91,8 @@
         if response.status != 200:
             return _unexpected_status(response)
         try:
-            return Appended(decode(response.data, type=_AppendReply).offset)
-        except (DecodeError, ValidationError) as error:
+            return Appended(decode_json(response.data, _AppendReply).offset)
+        except DecodeError as error:
             return LogFailure(FailureKind.PROTOCOL, str(error), may_have_happened=True)
 
     def read(self, start: int, limit: int, wait_ms: int) -> ReadOutcome:
@@ -108,12 +104,12 @@
             return response
         try:
             if response.status == 410:
-                expired = decode(response.data, type=_ExpiredReply)
+                expired = decode_json(response.data, _ExpiredReply)
                 return Expired(expired.first, expired.end)
             if response.status != 200:
                 return _unexpected_status(response)
-            return _read_result(decode(response.data, type=_ReadReply), started_ms)
-        except (DecodeError, ValidationError) as error:
+            return _read_result(decode_json(response.data, _ReadReply), started_ms)
+        except DecodeError as error:
             return LogFailure(FailureKind.PROTOCOL, str(error), may_have_happened=False)
 
     def close(self) -> None:
@@ -160,13 +156,5 @@
 
 
 def _read_result(reply: _ReadReply, started_ms: int) -> ReadResult:
-    entries: list[Entry] = []
-    skipped: list[SkippedRecord] = []
-    for stored in reply.records:
-        try:
-            record = decode_record(stored.data)
-        except UndecodableRecordError as error:
-            skipped.append(SkippedRecord(stored.offset, error.detail))
-            record = EMPTY_RECORD
-        entries.append(Entry(stored.offset, stored.at_ms, record))
-    return ReadResult(tuple(entries), reply.first, reply.end, started_ms, tuple(skipped))
+    entries, skipped = decode_entries((row.offset, row.at_ms, row.data) for row in reply.records)
+    return ReadResult(entries, reply.first, reply.end, started_ms, skipped)
--- a/libs/logclient/src/hornbeamfold/logclient/codec.py
+++ b/libs/logclient/src/hornbeamfold/logclient/codec.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from msgspec import DecodeError, Raw, ValidationError
-from msgspec.json import Decoder, encode
+from msgspec import Raw
+from msgspec.json import encode
 
+from hornbeamfold.decoding import DecodeError, decode_json
 from hornbeamfold.model.errors import ErrorKind, HornbeamfoldError
 from hornbeamfold.model.events import EVENT_TYPES, Event, Record
 
@@ -30,10 +31,7 @@
     events: tuple[dict[str, Raw], ...]
 
 
-_envelope_decoder = Decoder(_Envelope)
-_event_decoders: dict[str, Decoder[Any]] = {
-    event_type.__name__: Decoder(event_type) for event_type in EVENT_TYPES
-}
+_event_types: dict[str, Any] = {event_type.__name__: event_type for event_type in EVENT_TYPES}
 
 
 def encode_record(record: Record) -> str:
@@ -45,8 +43,8 @@
 def decode_record(data: str) -> Record:
     """Return the record for its stored text; raise `UndecodableRecordError` on failure."""
     try:
-        envelope = _envelope_decoder.decode(data)
-    except (DecodeError, ValidationError) as error:
+        envelope = decode_json(data, _Envelope)
+    except DecodeError as error:
         raise UndecodableRecordError(f"not a record: {error}") from error
     return Record(
         envelope.writer,
@@ -87,11 +85,11 @@
     if len(tagged_event) != 1:
         raise UndecodableRecordError(f"an event has {len(tagged_event)} tags instead of one")
     ((name, raw),) = tagged_event.items()
-    decoder = _event_decoders.get(name)
-    if decoder is None:
+    event_type = _event_types.get(name)
+    if event_type is None:
         raise UndecodableRecordError(f"unknown event {name}; a newer version has written it")
     try:
-        event: Event = decoder.decode(raw)
-    except (DecodeError, ValidationError) as error:
+        event: Event = decode_json(bytes(raw), event_type)
+    except DecodeError as error:
         raise UndecodableRecordError(f"event {name}: {error}") from error
     return event
--- a/libs/logclient/tests/test_client.py
+++ b/libs/logclient/tests/test_client.py
@@ -2,9 +2,14 @@
 
 import unittest
 from time import monotonic
+from types import SimpleNamespace
+from unittest import mock
 
-from hornbeamfold.logclient.client import EMPTY_RECORD, LogClient
+from urllib3 import HTTPConnectionPool
+
+from hornbeamfold.logclient.client import LogClient
 from hornbeamfold.logclient.codec import MAX_RECORD_BYTES, encode_record
+from hornbeamfold.logclient.entries import EMPTY_RECORD
 from hornbeamfold.logclient.outcomes import (
     Appended,
     Expired,
@@ -75,6 +80,26 @@
         self.assertEqual([entry.record for entry in found.entries], [EMPTY_RECORD])
         self.assertEqual([skipped.offset for skipped in found.skipped], [0])
 
+    def test_odd_answers_are_failures(self) -> None:
+        """Guards against an answer that ends the thread which reads or writes the log."""
+        deep = b'{"odd":' + b"[" * 100_000
+        answers = {
+            "too deep": deep,
+            "empty": b"",
+            "negative": b'{"offset":-1,"records":[],"first":-1,"end":-1}',
+            "huge": b'{"offset":%s,"records":[],"first":0,"end":%s}' % (b"9" * 30, b"9" * 30),
+            "not UTF-8": b'{"offset":1,"records":[],"first":0,"end":0,"odd":"\xff"}',
+        }
+        for name, body in answers.items():
+            for status in (200, 410):
+                with self.subTest(name, status=status):
+                    reply = SimpleNamespace(status=status, data=body)
+                    with mock.patch.object(HTTPConnectionPool, "urlopen", return_value=reply):
+                        read = self.client.read(0, 1, 0)
+                        appended = self.client.append("{}")
+                    self.assert_failure(read, FailureKind.PROTOCOL, False)
+                    self.assert_failure(appended, FailureKind.PROTOCOL, True)
+
     def test_a_read_during_a_partition_times_out(self) -> None:
         """Guards against a reader that hangs during a network partition."""
         self.log.set_faults(cut_requests=["i1"])
--- a/libs/logclient/tests/test_codec.py
+++ b/libs/logclient/tests/test_codec.py
@@ -17,6 +17,7 @@
 from hornbeamfold.model.errors import HornbeamfoldError
 from hornbeamfold.model.events import EVENT_TYPES, JobCancelled, Record, SnapshotPart
 
+DEEP = "[" * 100_000 + "]" * 100_000
 FINITE = st.floats(-float_info.max, float_info.max)
 
 
@@ -47,10 +48,14 @@
             ('{"writer":"w","seq":1,"events":[{"JobCancelled":{}}]}', "event JobCancelled"),
             ('{"writer":"w","seq":1,"events":[{}]}', "0 tags"),
             ("[]", "not a record"),
+            ('{"odd":' + DEEP, "not a record"),
+            ('{"writer":"w","seq":1,"events":[{"JobCancelled":{"odd":' + DEEP + "}}]}", "record"),
+            ('{"writer":"w","seq":' + "9" * 5_000 + ',"events":[]}', "not a record"),
+            ('{"writer":"w","seq":1e400,"events":[]}', "not a record"),
             ("{", "not a record"),
         ):
             with (
-                self.subTest(data),
+                self.subTest(data[:80]),
                 self.assertRaisesRegex(UndecodableRecordError, expected),
             ):
                 decode_record(data)
