Go on fetching entries after an odd record of a peer

Seen: one record that a peer relays and this version cannot decode, such as an event of a newer version, raised in the thread that fetches entries while the log is away, and the thread was gone.

Change: records of peers are decoded like those of the log: an odd one is replaced by an empty one, logged and skipped. The other long-lived threads of the daemon are called again after an unexpected exception; the writer is only logged, as a second call would take its last record for stored.

--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -32,7 +32,7 @@
 from hornbeamfold.rpc.server import ServerHandle, serve
 from hornbeamfold.rpc.services import build_services
 from hornbeamfold.settings import Settings
-from hornbeamfold.telemetry import gauge, get_logger
+from hornbeamfold.telemetry import gauge, get_logger, keep_running, log_exceptions
 from hornbeamfold.workers import WorkerClient
 
 LOAD_RETRY_MS = 500
@@ -318,14 +318,15 @@
     """Start the server and the green threads; return the server's handle."""
     handlers = build_services(components.frontend, components.peer_frontend)
     server = serve(settings.rpc_address, handlers)
-    eventlet.spawn(components.writer.run)
-    eventlet.spawn(follow_log, components, monotonic_ms, settings.bootstrap)
+    # Called again after an exception, the writer would take its last record for stored.
+    eventlet.spawn(log_exceptions(components.writer.run))
+    eventlet.spawn(keep_running(follow_log), components, monotonic_ms, settings.bootstrap)
     components.peering.start(server.address)
-    eventlet.spawn(components.session_manager.run)
-    eventlet.spawn(components.placer.run)
-    eventlet.spawn(components.resolver.run)
-    eventlet.spawn(components.dispatcher.run_queue)
-    eventlet.spawn(components.snapshotter.run)
+    eventlet.spawn(keep_running(components.session_manager.run))
+    eventlet.spawn(keep_running(components.placer.run))
+    eventlet.spawn(keep_running(components.resolver.run))
+    eventlet.spawn(keep_running(components.dispatcher.run_queue))
+    eventlet.spawn(keep_running(components.snapshotter.run))
 
     def ready() -> str:
         if lifecycle.draining:
--- a/libs/daemon/src/hornbeamfold/daemon/peering.py
+++ b/libs/daemon/src/hornbeamfold/daemon/peering.py
@@ -11,7 +11,7 @@
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower
 from hornbeamfold.daemon.heartbeat import HeartbeatSource
-from hornbeamfold.logclient import Signal, decode_record
+from hornbeamfold.logclient import Signal, decode_entries
 from hornbeamfold.membership import (
     Freshness,
     ListClient,
@@ -19,12 +19,11 @@
     ListFailure,
     PeerTable,
 )
-from hornbeamfold.model.events import Entry
 from hornbeamfold.model.status import CancelState, FoundAnswer, PeerHeartbeat, RelayedEntries
 from hornbeamfold.model.timing import HEARTBEAT_INTERVAL_MS
 from hornbeamfold.rpc.peers import PeerConnection, PeerFailure
 from hornbeamfold.settings import Settings
-from hornbeamfold.telemetry import counter, get_logger
+from hornbeamfold.telemetry import counter, get_logger, keep_running
 
 LIST_READ_INTERVAL_MS = 1_000
 PEER_CALL_TIMEOUT_MS = 1_000
@@ -73,9 +72,9 @@
     def start(self, address: str) -> None:
         """Start the green threads; `address` is the one that the server listens on."""
         self._address = address
-        eventlet.spawn(self._read_list)
-        eventlet.spawn(self._build_heartbeats)
-        eventlet.spawn(self._fetch_from_peers)
+        eventlet.spawn(keep_running(self._read_list))
+        eventlet.spawn(keep_running(self._build_heartbeats))
+        eventlet.spawn(keep_running(self._fetch_from_peers))
 
     def leave(self) -> None:
         """Announce to the instance list that this instance is leaving."""
@@ -158,7 +157,7 @@
             if self._addresses.get(instance.name) == instance.address:
                 continue
             self._addresses[instance.name] = instance.address
-            eventlet.spawn(self._send_heartbeats, instance.name, instance.address)
+            eventlet.spawn(keep_running(self._send_heartbeats), instance.name, instance.address)
 
     def _build_heartbeats(self) -> None:
         """Build one heartbeat per interval, so that all peers get the same sequence number."""
@@ -214,10 +213,12 @@
         reply = connection.read_records(start, RELAY_BATCH, PEER_CALL_TIMEOUT_MS)
         if not isinstance(reply, RelayedEntries) or reply.first_offset > start:
             return
-        entries = [
-            Entry(entry.offset, entry.at_ms, decode_record(entry.data)) for entry in reply.entries
-        ]
+        entries, skipped = decode_entries(
+            (entry.offset, entry.at_ms, entry.data) for entry in reply.entries
+        )
         if not entries or entries[0].offset != start:
             return
+        if skipped:
+            self._follower.on_skipped(skipped)
         self._follower.on_relayed(entries)
         count_relayed(len(entries), peer=name)
