Treat odd replies of workers and odd instance lists as failed calls

Seen: a reply or a list with deep nesting raised RecursionError, in the case of the list in the thread that reads it, which was gone; negative or huge tokens, progress and usage were taken in.

Change: both are decoded by `decoding`, and the numbers of workers have ranges.

--- a/libs/membership/src/hornbeamfold/membership/listing.py
+++ b/libs/membership/src/hornbeamfold/membership/listing.py
@@ -6,6 +6,8 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
+from hornbeamfold.decoding import DecodeError, decode_json
+
 REQUEST_TIMEOUT_S = 2.0
 
 
@@ -51,8 +53,8 @@
         if isinstance(reply, ListFailure):
             return reply
         try:
-            return msgspec.json.decode(reply, type=InstanceList)
-        except msgspec.DecodeError as error:
+            return decode_json(reply, InstanceList)
+        except DecodeError as error:
             return ListFailure(f"The instance list cannot be decoded: {error}.")
 
     def announce(self, instance: ListedInstance) -> ListFailure | None:
--- a/libs/workers/src/hornbeamfold/workers/client.py
+++ b/libs/workers/src/hornbeamfold/workers/client.py
@@ -3,10 +3,10 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-from msgspec import MsgspecError
-from msgspec.json import Decoder, Encoder
+from msgspec.json import Encoder
 from urllib3 import PoolManager
 
+from hornbeamfold.decoding import DecodeError, decode_json
 from hornbeamfold.model.topology import Worker
 from hornbeamfold.workers.exchange import Clock, HttpCall, HttpReply, exchange
 from hornbeamfold.workers.messages import (
@@ -39,11 +39,6 @@
 MAX_DETAIL_CHARACTERS = 2_000
 
 _encoder = Encoder()
-_sync_decoder = Decoder(SyncReply)
-_run_decoder = Decoder(RunDone)
-_failed_decoder = Decoder(RunFailed)
-_look_up_decoder = Decoder(LookUpReply)
-_void_decoder = Decoder(VoidReply)
 
 
 class WorkerClient:
@@ -76,7 +71,7 @@
     def sync(self, worker: Worker, request: SyncRequest, timeout_ms: int) -> SyncOutcome:
         """Start, renew, checkpoint, throttle, stop and forget tasks; return all tasks."""
         call = HttpCall("POST", _url(worker, "sync"), _encoder.encode(request), timeout_ms)
-        return _decode(_sync_decoder, call, exchange(self._control, self._clock, call))
+        return _decode(SyncReply, call, exchange(self._control, self._clock, call))
 
     def run(self, worker: Worker, request: RunRequest, timeout_ms: int) -> RunOutcome:
         """Run a request on the worker and wait for its answer."""
@@ -90,17 +85,17 @@
             return RunRefused()
         if reply.status == STATUS_FAILED:
             return _decode_failure(reply)
-        return _decode(_run_decoder, call, reply)
+        return _decode(RunDone, call, reply)
 
     def look_up(self, worker: Worker, task: str, timeout_ms: int) -> LookUpOutcome:
         """Return the state of a dispatched request."""
         call = HttpCall("GET", _url(worker, f"run/{_quote_segment(task)}"), None, timeout_ms)
-        return _decode(_look_up_decoder, call, exchange(self._control, self._clock, call))
+        return _decode(LookUpReply, call, exchange(self._control, self._clock, call))
 
     def void(self, worker: Worker, task: str, timeout_ms: int) -> VoidOutcome:
         """Make the worker refuse to start the task from now on, unless it has already started."""
         call = HttpCall("POST", _url(worker, f"run/{_quote_segment(task)}/void"), b"{}", timeout_ms)
-        return _decode(_void_decoder, call, exchange(self._control, self._clock, call))
+        return _decode(VoidReply, call, exchange(self._control, self._clock, call))
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -117,20 +112,20 @@
     return quote(task, safe="")
 
 
-def _decode(decoder: Decoder[T], call: HttpCall, reply: HttpReply | CallFailure) -> T | CallFailure:
+def _decode(expected: type[T], call: HttpCall, reply: HttpReply | CallFailure) -> T | CallFailure:
     if not isinstance(reply, HttpReply):
         return reply
     if reply.status != STATUS_OK:
         return NoReply(f"{call.method} {call.url}: unexpected status {reply.status}")
     try:
-        return decoder.decode(reply.body)
-    except (MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(reply.body, expected)
+    except DecodeError as error:
         return NoReply(f"{call.method} {call.url}: invalid reply: {error}")
 
 
 def _decode_failure(reply: HttpReply) -> RunFailed:
     """Return the failure with the worker's detail, or with the raw body if that has none."""
     try:
-        return _failed_decoder.decode(reply.body)
-    except (MsgspecError, UnicodeDecodeError):
+        return decode_json(reply.body, RunFailed)
+    except DecodeError:
         return RunFailed(reply.body.decode(errors="replace")[:MAX_DETAIL_CHARACTERS])
--- a/libs/workers/src/hornbeamfold/workers/messages.py
+++ b/libs/workers/src/hornbeamfold/workers/messages.py
@@ -2,11 +2,8 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
-from typing import Annotated
 
-from msgspec import Meta
-
-NonNegativeInt = Annotated[int, Meta(ge=0)]
+from hornbeamfold.decoding import Amount, Count
 
 
 @dataclass(frozen=True)
@@ -74,10 +71,10 @@
     """The state of one task as reported by its worker."""
 
     task: str
-    fence: int
+    fence: Count
     state: TaskState
     checkpoint: str = ""
-    progress: float = 0.0
+    progress: Amount = 0.0
     detail: str = ""
 
 
@@ -85,9 +82,9 @@
 class Usage:
     """The resources that a worker uses at a time of the worker's own clock."""
 
-    as_of_ms: int
-    processors: float
-    memory_gb: float
+    as_of_ms: Count
+    processors: Amount
+    memory_gb: Amount
 
 
 @dataclass(frozen=True)
@@ -95,8 +92,8 @@
     """All tasks on the worker, and its load."""
 
     tasks: tuple[TaskReport, ...]
-    free_slots: NonNegativeInt
-    connections: NonNegativeInt
+    free_slots: Count
+    connections: Count
     leaving: bool
     supports_void: bool
     usage: Usage
--- a/libs/workers/tests/test_client.py
+++ b/libs/workers/tests/test_client.py
@@ -139,6 +139,11 @@
             "not UTF-8": respond_with(
                 http(200, b'{"answer": "\xff", "request_id": "", "digest": ""}')
             ),
+            "too deep": respond_with(http(200, b'{"odd":' + b"[" * 100_000)),
+            "too deep, busy": respond_with(http(503, b"[" * 100_000)),
+            "not UTF-8 in another field": respond_with(
+                http(200, b'{"answer": "a", "request_id": "1", "digest": "", "odd": "\xff"}')
+            ),
             "missing field": respond_with(http(200, b'{"answer": "a", "request_id": "1"}')),
             "wrong type": respond_with(http(200, b'{"answer": 1, "request_id": "", "digest": ""}')),
             "server error": respond_with(http(503, b"{}", more="Retry-After: 0\r\n")),
@@ -234,6 +239,34 @@
         sent = loads(received[0].partition(b"\r\n\r\n")[2])
         self.assertEqual(sent, {"instance": "i"} | {name: [] for name in lists} | {"stop": ["t"]})
 
+    def test_numbers_out_of_range_are_invalid(self) -> None:
+        """Guards against tokens, shares and loads that no worker can have."""
+        text = dumps(SYNC_REPLY)
+        for name, value in (
+            ("fence", "4"),
+            ("progress", "1"),
+            ("free_slots", "7"),
+            ("connections", "2"),
+            ("as_of_ms", "5"),
+            ("processors", "1"),
+            ("memory_gb", "2"),
+        ):
+            for number in ("-1", "1e308", "1e400", "9" * 30, "9" * 5_000, "NaN"):
+                with self.subTest(name, number=number[:10]):
+                    reply = text.replace(f'"{name}": {value}', f'"{name}": {number}')
+                    self.assertNotEqual(reply, text)
+                    worker = self.serve(respond_with(http(200, reply.encode())))
+                    self.assertIsInstance(self.client.sync(worker, SyncRequest("i"), 500), NoReply)
+
+    def test_an_odd_failure_keeps_its_text(self) -> None:
+        """Guards against a failed run whose answer raises in its thread."""
+        for body in (b'{"odd":' + b"[" * 100_000, b"\xff"):
+            with self.subTest(body[:10]):
+                worker = self.serve(respond_with(http(422, body)))
+                outcome = self.client.run(worker, RUN, 500)
+                assert isinstance(outcome, RunFailed), outcome
+                self.assertLessEqual(len(outcome.detail), 2_000)
+
     def test_negative_slots_are_invalid(self) -> None:
         """Guards against calculating with a load that no worker can have."""
         reply = dumps(SYNC_REPLY | {"free_slots": -1}).encode()
