--- a/libs/view/src/hornbeamfold/view/encoding.py
+++ b/libs/view/src/hornbeamfold/view/encoding.py
@@ -3,8 +3,9 @@
 from dataclasses import dataclass
 from hashlib import sha256
 
-from msgspec.json import Decoder, Encoder
+from msgspec.json import Encoder
 
+from hornbeamfold.decoding import DecodeError, decode_json
 from hornbeamfold.model import (
     ACTIVE_JOBS,
     AvailabilityZone,
@@ -42,7 +43,6 @@
 
 
 _ENCODER = Encoder()
-_DECODER = Decoder(EncodedState)
 
 
 def encode_state(state: State) -> bytes:
@@ -69,8 +69,15 @@
 
 
 def decode_state(data: bytes) -> State:
-    """Decode a state from JSON and rebuild its indexes."""
-    encoded = _DECODER.decode(data)
+    """Decode a state from JSON and rebuild its indexes; raises DecodeError if it is malformed."""
+    encoded = decode_json(data, EncodedState)
+    try:
+        return _rebuild(encoded)
+    except LookupError as error:
+        raise DecodeError(f"the state refers to an unknown name: {error}") from error
+
+
+def _rebuild(encoded: EncodedState) -> State:
     state = State()
     state.offset = encoded.offset
     state.at_ms = encoded.at_ms
--- a/libs/view/src/hornbeamfold/view/snapshot.py
+++ b/libs/view/src/hornbeamfold/view/snapshot.py
@@ -5,6 +5,7 @@
 from zlib import compress, decompress
 from zlib import error as zlib_error
 
+from hornbeamfold.decoding import DecodeError
 from hornbeamfold.model import Entry, SnapshotPart, check_invariant
 from hornbeamfold.view.encoding import decode_state, digest_of, encode_state
 from hornbeamfold.view.fold_config import GuaranteesFit, always_fits
@@ -63,7 +64,11 @@
         check_invariant("I8", intact, f"the snapshot as of {part.as_of} does not match its digest")
         if not intact:
             return None
-        return View(self._guarantees_fit, decode_state(encoded))
+        try:
+            return View(self._guarantees_fit, decode_state(encoded))
+        except DecodeError as error:
+            check_invariant("I8", False, f"the snapshot as of {part.as_of} is malformed: {error}")
+            return None
 
     def _evict(self) -> None:
         while len(self._incomplete) > MAX_INCOMPLETE:
--- a/libs/view/tests/test_snapshot.py
+++ b/libs/view/tests/test_snapshot.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 from random import Random
+from zlib import compress
 
 from view_folding import ViewMixin, make_spec
 
@@ -17,6 +18,7 @@
     configure_invariants,
 )
 from hornbeamfold.view import SnapshotCollector, View, may_replace, snapshot_parts, verify_snapshot
+from hornbeamfold.view.encoding import digest_of, encode_state
 from hornbeamfold.view.snapshot import MAX_INCOMPLETE
 
 
@@ -54,6 +56,26 @@
             self.collector.add(replace(self.parts[0], as_of=self.parts[0].as_of + newer))
         self.assertEqual({self.collector.add(part) for part in self.parts[1:]}, {None})
 
+    def test_a_state_that_cannot_be_decoded_is_not_restored(self) -> None:
+        """Guards against a snapshot of another version that ends the thread which loads it."""
+        state = encode_state(self.view.state)
+        odd = {
+            "no JSON": b"\xff",
+            "no state": b"{}",
+            "too deep": b'{"odd":' + b"[" * 100_000,
+            "unknown zone": state.replace(b'"zones":[', b'"zones":[],"odd":['),
+        }
+        for name, encoded in odd.items():
+            with self.subTest(name):
+                self.assertNotEqual(encoded, state)
+                part = SnapshotPart(
+                    10**6, digest_of(encoded), 0, 1, b64encode(compress(encoded)).decode()
+                )
+                with self.assertRaises(InvariantViolationError):
+                    self.collector.add(part)
+        restored = self.restore(self.parts)
+        self.assertEqual(restored.digest(), self.view.digest())
+
     def test_different_states_are_detected(self) -> None:
         """Guards against accepting diverged state (I8) or a lower configuration offset (I6)."""
         restored = self.restore(self.parts)
