Report odd YAML and odd log lines instead of raising

Seen: a settings file or a file of workers with a date that doesn't exist, a number of 5,000 digits or deep nesting, a link delay of 400 digits, and a log line with deep nesting for `explain` ended the program with a traceback.

Change: `decode_yaml` turns each way to fail into DecodeError; the settings of both front ends and the file of workers use it. `explain` leaves such lines out.

--- a/libs/cli/src/hornbeamfold/cli/explain.py
+++ b/libs/cli/src/hornbeamfold/cli/explain.py
@@ -39,8 +39,8 @@
                 continue
             try:
                 document = json.loads(text[start:])
-            except json.JSONDecodeError:
-                # The line was truncated when its process was killed.
+            except (ValueError, RecursionError):
+                # The line was truncated when its process was killed, or is none of a process.
                 continue
             if isinstance(document, dict):
                 yield document
--- a/libs/cli/src/hornbeamfold/cli/worker_file.py
+++ b/libs/cli/src/hornbeamfold/cli/worker_file.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass, fields
 from typing import Any
 
-from yaml import YAMLError, safe_load
-
+from hornbeamfold.decoding import DecodeError, decode_yaml
 from hornbeamfold.model.errors import ErrorKind, Refused
 from hornbeamfold.model.topology import Worker
 
@@ -22,9 +21,9 @@
 def read_worker_file(text: str) -> WorkerFile | Refused:
     """Parse the YAML text; a refusal names all errors. The instance checks value ranges."""
     try:
-        document = safe_load(text)
-    except YAMLError as error:
-        return Refused(ErrorKind.INVALID, f"not valid YAML: {' '.join(str(error).split())}")
+        document = decode_yaml(text)
+    except DecodeError as error:
+        return Refused(ErrorKind.INVALID, f"not valid YAML: {error}")
     if not isinstance(document, dict):
         return Refused(ErrorKind.INVALID, f"not a mapping with {' and '.join(KEYS)}")
     errors = [f"{key}: is not one of {', '.join(KEYS)}" for key in document if key not in KEYS]
--- a/libs/cli/tests/test_explain.py
+++ b/libs/cli/tests/test_explain.py
@@ -27,6 +27,8 @@
         {"time": "10:00:03", "instance": "b", "event": "placed", "request": "r2"},
     ],
 }
+# Lines that other programs may write to the same output.
+ODD_LINES = '{"odd":' + "[" * 100_000 + '\n{"odd":' + "9" * 5_000 + "}\n"
 
 
 class ExplainTest(unittest.TestCase):
@@ -37,7 +39,7 @@
         for name, lines in LOGS.items():
             path = Path(folder.name) / name
             text = "\n".join(f"  0.1 {name} {json.dumps(line)}" for line in lines)
-            path.write_text(text + '\nnot JSON\n{"cut off', encoding="utf-8")
+            path.write_text(f'{text}\n{ODD_LINES}not JSON\n{{"cut off', encoding="utf-8")
             self.arguments += ["--logs", str(path)]
 
     def test_lines_of_all_instances_are_in_chronological_order(self) -> None:
--- a/libs/decoding/src/hornbeamfold/decoding/__init__.py
+++ b/libs/decoding/src/hornbeamfold/decoding/__init__.py
@@ -1,7 +1,13 @@
 """Decodes documents that other programs wrote; every way to fail raises one error."""
 
 from hornbeamfold.decoding.addresses import MAX_PORT, check_address
-from hornbeamfold.decoding.documents import DecodeError, convert, decode_json, decode_msgpack
+from hornbeamfold.decoding.documents import (
+    DecodeError,
+    convert,
+    decode_json,
+    decode_msgpack,
+    decode_yaml,
+)
 from hornbeamfold.decoding.ranges import (
     MAX_AMOUNT,
     MAX_INTEGER,
@@ -26,4 +32,5 @@
     "convert",
     "decode_json",
     "decode_msgpack",
+    "decode_yaml",
 ]
--- a/libs/decoding/src/hornbeamfold/decoding/documents.py
+++ b/libs/decoding/src/hornbeamfold/decoding/documents.py
@@ -1,12 +1,14 @@
-"""Decoding of JSON and MessagePack into a type."""
+"""Decoding of JSON and MessagePack into a type, and of YAML."""
 
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import msgspec
+from yaml import YAMLError, safe_load
 
 # The text of an error may repeat a value of the document, which has no limit of its own.
 MAX_DETAIL_CHARACTERS = 200
+TOO_DEEP = "the document is nested too deeply"
 
 T = TypeVar("T")
 
@@ -39,6 +41,19 @@
     return _checked(lambda: msgspec.msgpack.decode(data, type=expected))
 
 
+def decode_yaml(text: str) -> Any:
+    """Return the document of a YAML text; raises DecodeError for any other text.
+
+    PyYAML raises various errors for scalars of an odd form, such as a date that does not exist.
+    """
+    try:
+        return safe_load(text)
+    except (YAMLError, ValueError, TypeError, LookupError, AttributeError) as error:
+        raise DecodeError(" ".join(str(error).split())) from error
+    except RecursionError as error:
+        raise DecodeError(TOO_DEEP) from error
+
+
 def convert(value: Any, expected: type[T]) -> T:
     """Return a decoded value as the expected type; raises DecodeError if it is of another one."""
     return _checked(lambda: msgspec.convert(value, expected))
@@ -50,4 +65,4 @@
     except (ValueError, OverflowError) as error:  # includes msgspec's errors and those of UTF-8
         raise DecodeError(str(error)) from error
     except RecursionError as error:
-        raise DecodeError("the document is nested too deeply") from error
+        raise DecodeError(TOO_DEEP) from error
--- a/libs/decoding/tests/test_decoding.py
+++ b/libs/decoding/tests/test_decoding.py
@@ -18,6 +18,7 @@
     convert,
     decode_json,
     decode_msgpack,
+    decode_yaml,
 )
 
 DEPTH = 100_000
@@ -89,6 +90,23 @@
                 decode_msgpack(data, _Document)
         self.assertEqual(decode_msgpack(msgspec.msgpack.encode({"count": 3}), _Document).count, 3)
 
+    def test_odd_yaml_is_rejected(self) -> None:
+        for text in (
+            "a: [",
+            "[" * 10_000 + "]" * 10_000,
+            "a: 2026-99-99",
+            "a: " + "9" * 5_000,
+            "a: !!binary x",
+            "a: !!timestamp x",
+            "a: !!int ''",
+            "? [a]\n: 1",
+            "a: !unknown 1",
+            "a: \x00",
+        ):
+            with self.subTest(text[:20]), self.assertRaises(DecodeError):
+                decode_yaml(text)
+        self.assertEqual(decode_yaml("a: 1"), {"a": 1})
+
     def test_values_out_of_range_are_not_converted(self) -> None:
         for value in (float("nan"), float("inf"), -float("inf"), 10**400, -1, "1", None, [1]):
             with self.subTest(str(value)[:20]), self.assertRaises(DecodeError):
--- a/libs/settings/src/hornbeamfold/settings/loading.py
+++ b/libs/settings/src/hornbeamfold/settings/loading.py
@@ -6,8 +6,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from yaml import YAMLError, safe_load
-
+from hornbeamfold.decoding import DecodeError, decode_yaml
 from hornbeamfold.settings.rules import (
     ALLOWED_DELAY,
     ALLOWED_ZONE_PAIR,
@@ -40,11 +39,10 @@
 def load_settings(text: str, environ: Mapping[str, str]) -> Settings | SettingsErrors:
     """Validate the settings in YAML text, overridden by environment variables."""
     try:
-        document = safe_load(text)
-    except YAMLError as error:
-        problem = " ".join(str(error).split())
+        document = decode_yaml(text)
+    except DecodeError as error:
         return SettingsErrors(
-            (SettingError("(file)", f"is not valid YAML: {problem}", "a YAML mapping"),)
+            (SettingError("(file)", f"is not valid YAML: {error}", "a YAML mapping"),)
         )
     if document is None:
         document = {}
@@ -82,8 +80,8 @@
             values[key] = environ[variable]
             continue
         try:
-            value = safe_load(environ[variable])
-        except YAMLError:
+            value = decode_yaml(environ[variable])
+        except DecodeError:
             value = environ[variable]
         if not separator:
             values[key] = value
--- a/libs/settings/src/hornbeamfold/settings/rules.py
+++ b/libs/settings/src/hornbeamfold/settings/rules.py
@@ -100,7 +100,8 @@
 def check_delay(value: object) -> float:
     """Return one link delay in milliseconds; raise ValueError if it is invalid."""
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value):  # type: ignore[arg-type]
+    # Only floating-point numbers are infinite, and huge integers cannot be converted to one.
+    if not is_number or (isinstance(value, float) and not math.isfinite(value)):
         raise ValueError(f"{value!r} is not a number of milliseconds")
     if not 0 <= value <= 10_000:  # type: ignore[operator]
         raise ValueError(f"{value} is out of range")
--- a/libs/settings/tests/test_loading.py
+++ b/libs/settings/tests/test_loading.py
@@ -52,6 +52,10 @@
     ("link_delays: {sousse: 1}", "link_delays.sousse", "zone-a/zone-b"),
     ("link_delays: {a/b: -1}", "link_delays.a/b", "from 0 to 10000"),
     ("link_delays: {a/b: .nan}", "link_delays.a/b", "not a number of milliseconds"),
+    ("link_delays: {a/b: .inf}", "link_delays.a/b", "not a number of milliseconds"),
+    ("link_delays: {a/b: 1" + "0" * 400 + "}", "link_delays.a/b", "out of range"),
+    ("max_queue: 1" + "0" * 400, "max_queue", "out of range"),
+    ("rpc_address: 127.0.0.1:" + "9" * 5_000, "rpc_address", "ip:port"),
 )
 
 
@@ -91,8 +95,17 @@
 
     def test_text_that_is_not_a_mapping(self) -> None:
         """Guards against a traceback for a file that does not contain settings."""
-        for text in ("- a", "a: [", "x"):
-            with self.subTest(text):
+        for text in (
+            "- a",
+            "a: [",
+            "x",
+            "a: " + "[" * 10_000 + "]" * 10_000,
+            "a: 2026-99-99",
+            "a: " + "9" * 5_000,
+            "a: !!binary x",
+            "? [a]\n: 1",
+        ):
+            with self.subTest(text[:20]):
                 self.assertEqual(self.errors(text).errors[0].path, "(file)")
 
     def test_the_environment_overrides_the_file(self) -> None:
