--- a/libs/ledger/src/hornbeamfold/ledger/replica.py
+++ b/libs/ledger/src/hornbeamfold/ledger/replica.py
@@ -5,9 +5,8 @@
 
 from collections.abc import Callable, Iterable
 
-import msgspec
-
 from hornbeamfold.batch import TERMINAL_STATES, BatchJob, JobState, KeyedRecord
+from hornbeamfold.decoding import DecodeError
 from hornbeamfold.ledger.codec import (
     CANCEL_PREFIX,
     COORDINATOR_KEY,
@@ -18,7 +17,7 @@
     decode_job,
     decode_state,
 )
-from hornbeamfold.telemetry import get_logger
+from hornbeamfold.telemetry import get_logger, report_unexpected
 
 logger = get_logger("hornbeamfold.ledger.replica")
 
@@ -91,7 +90,7 @@
             self._offsets[record.key] = record.offset
             try:
                 from_coordinator |= self._apply(record)
-            except msgspec.MsgspecError as error:
+            except DecodeError as error:
                 logger.error(
                     "record_unreadable",
                     extra={"key": record.key, "offset": record.offset, "error": str(error)},
@@ -110,7 +109,10 @@
             self._update_pending(job_id)
             return True
         if kind + separator == JOB_PREFIX and job_id not in self._jobs:
-            self._jobs[job_id] = decode_job(record.value)
+            job = decode_job(record.value)
+            if job.job_id != job_id:
+                raise DecodeError("the record holds a job with another id")
+            self._jobs[job_id] = job
             self._notify_listeners(job_id)
         if kind + separator == CANCEL_PREFIX and job_id not in self._cancelled:
             self._cancelled.add(job_id)
@@ -120,7 +122,10 @@
     def _notify_listeners(self, job_id: str) -> None:
         self._update_pending(job_id)
         for listener in tuple(self._listeners):
-            listener(job_id)
+            try:
+                listener(job_id)
+            except Exception:  # one job must not hide the later ones from the listener
+                report_unexpected("job_listener", request=job_id)
 
     def _update_pending(self, job_id: str) -> None:
         job = self._jobs.get(job_id)
