End a term with any of its threads, and leave out recorded runs of unknown tasks

What callers would see: a coordinator stays in office and plans, records or publishes nothing, so that no accepted job runs or ends (LOST). Found by the work on odd entries: progress with a run of a step that its job does not have raised IndexError while the term began, outside the block that ends it. A worker's session that raised left its worker without renewals.

--- a/libs/batch/src/hornbeamfold/batch/spec.py
+++ b/libs/batch/src/hornbeamfold/batch/spec.py
@@ -114,6 +114,14 @@
             return self.submitted_ms
         return self.start_at_ms + occurrence * self.interval_ms
 
+    def has_task(self, ref: TaskRef) -> bool:
+        """Return whether the job has this task."""
+        return (
+            ref.occurrence < self.occurrences
+            and ref.step < len(self.steps)
+            and ref.index < self.steps[ref.step].count
+        )
+
     @property
     def scheduled(self) -> bool:
         """Whether the job runs at scheduled times."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
@@ -7,6 +7,7 @@
 
 from hornbeamfold.batch import (
     TERMINAL_STATES,
+    BatchJob,
     JobProgress,
     JobState,
     ReadFailed,
@@ -21,6 +22,7 @@
 logger = get_logger("hornbeamfold.coordinator.job_intake")
 
 LOAD_RETRY_MS = 100
+MAX_LOGGED_TASKS = 10
 
 
 @dataclass(frozen=True)
@@ -97,8 +99,24 @@
                 # The previous coordinator recorded the end but did not publish it.
                 self._hooks.on_state(job_id, progress.state)
                 return
-            self._tracker.add(job, progress)
+            self._tracker.add(job, _known_progress(job, progress))
         if self._replica.is_cancelled(job_id):
             logger.info("job_cancelled", extra={"request": job_id})
             self._hooks.on_runs_cancelled(self._tracker.cancel(job_id))
         self._hooks.on_change()
+
+
+def _known_progress(job: BatchJob, progress: JobProgress) -> JobProgress:
+    """Return the recorded progress without rows of tasks that the job does not have."""
+    tasks = {ref: task for ref, task in progress.tasks.items() if job.has_task(ref)}
+    unknown = [list(ref) for ref in progress.tasks if ref not in tasks]
+    if unknown:
+        logger.error(
+            "progress_of_unknown_tasks",
+            extra={
+                "request": job.job_id,
+                "tasks": unknown[:MAX_LOGGED_TASKS],
+                "in_all": len(unknown),
+            },
+        )
+    return JobProgress(progress.state, tasks)
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -43,7 +43,7 @@
 from hornbeamfold.coordinator.wait_log import WaitLog
 from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
 from hornbeamfold.scheduling import Plan, plan
-from hornbeamfold.telemetry import get_logger, histogram, log_exceptions
+from hornbeamfold.telemetry import get_logger, histogram, keep_running, log_exceptions
 
 logger = get_logger("hornbeamfold.coordinator.term")
 _plan_ms = histogram("hornbeamfold_plan", "ms", "Time of one planning pass.")
@@ -196,7 +196,15 @@
 
     def run(self) -> None:
         """Load jobs and progress, open the worker sessions, and plan until the term ends."""
-        eventlet.spawn_n(log_exceptions(self._announcer.run))
+        try:
+            self._run()
+        finally:
+            # A coordinator that cannot plan must give way to the other instances.
+            if self._planning:
+                self.step_down("planning ended")
+
+    def _run(self) -> None:
+        self._spawn(self._announcer.run)
         # From here on the progress topic rejects appends of the previous coordinator.
         if not self._progress_writer.write([encode_coordinator(self._record)]):
             return
@@ -212,13 +220,19 @@
                 "runs": len(self._tracker.runs),
             },
         )
-        eventlet.spawn_n(log_exceptions(self._journal.run))
-        try:
-            self._plan_while_active()
-        finally:
-            # A coordinator that cannot plan must give way to the other instances.
-            if self._planning:
-                self.step_down("planning ended")
+        self._spawn(self._journal.run)
+        self._plan_while_active()
+
+    def _spawn(self, run: Callable[[], None]) -> None:
+        """Run a function in a green thread; the term ends if it raises an exception."""
+
+        def run_or_step_down() -> None:
+            try:
+                log_exceptions(run)()
+            except Exception:
+                self.step_down(f"{run.__qualname__} failed")
+
+        eventlet.spawn_n(run_or_step_down)
 
     def _announce(self, job_id: str, state: JobState) -> None:
         """Publish the recorded state of a job unless it is already published."""
@@ -294,7 +308,7 @@
             max(self._orphan_deadline_ms, self._deps.clock()),
         )
         self._sessions[worker.worker_id] = session
-        eventlet.spawn_n(log_exceptions(session.run))
+        eventlet.spawn_n(keep_running(session.run))
 
     def _unread_runs(self) -> Mapping[RunName, str]:
         """Return the workers of runs whose jobs are not read yet, as long as those may be alive."""
