Show tasks that crash their workers in the emulator and the soak

Cause: users report tasks that crash every worker that starts them; the emulator had no such task, so neither tests nor soaks could show it. The rule: after three crashes a task may be started twice more, and after two it may be given up, its job shown as failed.

Change: payloads have `crashes`. `Fleet.crash` reports the runs that a crash takes along, also for the soak's own worker crashes. The checker counts crashes under each task: "crashing tasks are bounded" for tasks that crash workers, and "failed is true" accepts a job with a task under which two workers have crashed. Runs that are lost when a worker leaves are no crashes.

--- a/libs/soak/src/hornbeamfold/soak/__main__.py
+++ b/libs/soak/src/hornbeamfold/soak/__main__.py
@@ -61,8 +61,8 @@
     wait_for(lambda: not any(instance.busy for instance in cluster.instances), LAST_CALLS_TIMEOUT_S)
 
 
-def _run_soak(cluster: Cluster, seconds: float, seed: int) -> None:
-    load = LoadGenerator(cluster, seed)
+def _run_soak(cluster: Cluster, seconds: float, seed: int, newer: bool) -> None:
+    load = LoadGenerator(cluster, seed, newer)
     counts: Counter[str] = Counter()
     http = HttpClient()
     if not wait_for(
@@ -98,6 +98,9 @@
     logs: Annotated[
         str, Option(help="Folder that receives the logs if a guarantee is violated.")
     ] = "",
+    newer: Annotated[
+        bool, Option("--newer", help="Add the newer faults and jobs, which recorded seeds lack.")
+    ] = False,
 ) -> None:
     """Run real instances under random faults; exit with 1 if a guarantee is violated."""
     chosen_seed = Random().randrange(MAX_SEED) if seed is None else seed
@@ -107,7 +110,7 @@
     with tempfile.TemporaryDirectory() as folder:
         cluster = Cluster(ClusterSize(instances, workers), chosen_seed, Path(folder))
         try:
-            _run_soak(cluster, seconds, chosen_seed)
+            _run_soak(cluster, seconds, chosen_seed, newer)
         finally:
             stop_all([instance.process for instance in cluster.instances])
         violations = cluster.violation_log.violations
--- a/libs/soak/src/hornbeamfold/soak/checker.py
+++ b/libs/soak/src/hornbeamfold/soak/checker.py
@@ -29,6 +29,11 @@
 REVOCATION_BOUND_MS = 5_000
 VISIBILITY_BOUND_MS = 3_000
 EARLY_START_TOLERANCE_MS = 250
+# A task may be given up after two workers have crashed under it; after three, it may be started
+# twice more.
+MIN_CRASHES_TO_GIVE_UP = 2
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 class Checker:
@@ -49,6 +54,8 @@
         self._acknowledged_done_tasks: set[TaskKey] = set()
         self._failure_counts: dict[TaskKey, int] = {}
         self._acknowledged_failure_counts: dict[TaskKey, int] = {}
+        self._crash_counts: dict[TaskKey, int] = {}
+        self._starts_after_crashes: dict[TaskKey, int] = {}
         self._draining_ms: dict[tuple[str, int], int] = {}
         self._zones_out_ms: dict[str, int] = {}
         self._revoked_ms: dict[str, int] = {}
@@ -57,7 +64,13 @@
     @property
     def observer(self) -> Observer:
         """The callbacks for the emulated workers."""
-        return Observer(self._on_started, self._on_ended, self._on_acknowledged, self._on_lost)
+        return Observer(
+            self._on_started,
+            self._on_ended,
+            self._on_acknowledged,
+            self._on_lost,
+            self._on_crashed,
+        )
 
     @property
     def accepted_ms(self) -> Mapping[str, int]:
@@ -103,13 +116,17 @@
         if state == "completed" and not all(key in self._done_tasks for key in keys):
             missing = [key.task for key in keys if key not in self._done_tasks]
             self._violation_log.add("completed is true", f"{job_id}: {missing} did not end as done")
-        if state == "failed" and not any(
-            self._failure_counts.get(key, 0) >= job.max_attempts for key in keys
-        ):
+        if state == "failed" and not any(self._may_be_given_up(job, key) for key in keys):
             self._violation_log.add("failed is true", f"{job_id} has attempts left")
         if state == "cancelled" and job_id not in self._cancel_requested_jobs:
             self._violation_log.add("cancelled is true", f"{job_id}: no caller cancelled it")
 
+    def _may_be_given_up(self, job: SubmittedJob, key: TaskKey) -> bool:
+        return (
+            self._failure_counts.get(key, 0) >= job.max_attempts
+            or self._crash_counts.get(key, 0) >= MIN_CRASHES_TO_GIVE_UP
+        )
+
     def check_unknown_job(self, job_id: str, asked_ms: int) -> None:
         """Check an answer that a job is unknown."""
         accepted = self._accepted_ms.get(job_id)
@@ -168,6 +185,7 @@
         long_running = job.steps[key.task.step].long_running
         if self._acknowledged_failure_counts.get(key, 0) >= job.max_attempts and not long_running:
             self._violation_log.add("attempts are bounded", description)
+        self._check_crash_budget(job, key, description)
         if key.job_id in self._refused_jobs:
             self._violation_log.add("a refusal is true", description)
         self._live_runs.setdefault(key, []).append(live_run(worker, order, now_ms))
@@ -180,6 +198,17 @@
         if live_runs:
             self._violation_log.add("a task runs once", f"{description} beside {list(live_runs)}")
 
+    def _check_crash_budget(self, job: SubmittedJob, key: TaskKey, description: str) -> None:
+        if not job.crashes or self._crash_counts.get(key, 0) < MAX_CRASHES:
+            return
+        starts = self._starts_after_crashes.get(key, 0) + 1
+        self._starts_after_crashes[key] = starts
+        if starts > MAX_STARTS_AFTER_CRASHES:
+            self._violation_log.add(
+                "crashing tasks are bounded",
+                f"{description}: start {starts} after {MAX_CRASHES} crashes",
+            )
+
     def _check_preconditions(self, job: SubmittedJob, key: TaskKey, description: str) -> None:
         for dependency in job.steps[key.task.step].after:
             for index in range(job.steps[dependency].count):
@@ -246,6 +275,11 @@
     def _on_lost(self, worker: Worker, name: RunName) -> None:
         self._remove_live(worker, TaskKey(name.job_id, name.task), name)
 
+    def _on_crashed(self, worker: Worker, names: tuple[RunName, ...]) -> None:
+        for name in names:
+            key = TaskKey(name.job_id, name.task)
+            self._crash_counts[key] = self._crash_counts.get(key, 0) + 1
+
     def _remove_live(self, worker: Worker, key: TaskKey, name: RunName) -> None:
         self._live_runs[key] = [
             run
--- a/libs/soak/src/hornbeamfold/soak/faults.py
+++ b/libs/soak/src/hornbeamfold/soak/faults.py
@@ -2,11 +2,10 @@
 
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from random import Random
 
-from hornbeamfold.batch import Worker, unix_ms
-from hornbeamfold.emulator.workers import NO_FAULTS, WorkerFaults
+from hornbeamfold.emulator.workers import NO_FAULTS, EmulatedWorker, WorkerFaults
 from hornbeamfold.soak.cluster import SPARE_KEY, ZONES, Cluster, Instance
 from hornbeamfold.soak.proxy import NO_LINK_FAULT, Link, LinkFault
 
@@ -235,20 +234,19 @@
     return inject
 
 
-def _restart_worker(cluster: Cluster, worker: Worker) -> None:
+def _restart_worker(cluster: Cluster, removed: EmulatedWorker) -> None:
     """Restart a worker under the same id, as a new incarnation."""
-    restarted = replace(worker, born_ms=unix_ms(), draining=False)
-    cluster.platform.fleet.add(restarted)
+    cluster.platform.fleet.add(removed.restarted())
 
 
 def crash_worker(cluster: Cluster, rng: Random) -> Undo | None:
     """Remove a worker with all its runs; undoing restarts it as a new incarnation."""
     fleet = cluster.platform.fleet
-    worker = fleet.workers[rng.choice(sorted(fleet.workers))].worker
-    if worker.draining or len(fleet.workers) < len(cluster.worker_links) - 2:
+    emulated = fleet.workers[rng.choice(sorted(fleet.workers))]
+    if emulated.worker.draining or len(fleet.workers) < len(cluster.worker_links) - 2:
         return None
-    fleet.remove(worker.worker_id)
-    return lambda: _restart_worker(cluster, worker)
+    fleet.crash(emulated.worker.worker_id)
+    return lambda: _restart_worker(cluster, emulated)
 
 
 def crash_and_restart_worker(cluster: Cluster, rng: Random) -> Undo | None:
@@ -270,7 +268,7 @@
     worker = emulated.worker
     cluster.checker.on_worker_draining(worker)
     cluster.run_after(DRAIN_DURATION_S, lambda: fleet.remove(worker.worker_id))
-    return lambda: cluster.run_after(DRAIN_DURATION_S, lambda: _restart_worker(cluster, worker))
+    return lambda: cluster.run_after(DRAIN_DURATION_S, lambda: _restart_worker(cluster, emulated))
 
 
 def take_zone_out_of_service(cluster: Cluster, rng: Random) -> Undo:
--- a/libs/soak/src/hornbeamfold/soak/load.py
+++ b/libs/soak/src/hornbeamfold/soak/load.py
@@ -1,5 +1,6 @@
 """The load of the soak: callers that submit jobs, cancel some, and poll the states of all."""
 
+from collections.abc import Callable
 from functools import partial
 from random import Random
 from typing import Any
@@ -27,12 +28,18 @@
 SCHEDULED_PROBABILITY = 0.1
 LONG_RUNNING_PROBABILITY = 0.06
 FAILING_PROBABILITY = 0.05
+# Interval between two jobs of the kinds that only newer runs have.
+NEWER_SUBMIT_INTERVAL_S = (0.4, 1.6)
+CRASHING_PROBABILITY = 0.15
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 REFUSAL_STATUSES = frozenset({400, 401, 404, 429, 503})
 # A graceful stop violates nothing by aborting a call that was sent at most this long before.
 ABORT_TOLERANCE_MS = 200
 
 
+JobSource = Callable[[Random, str], tuple[SubmittedJob, dict[str, Any]]]
+
+
 def random_job(rng: Random, job_id: str) -> tuple[SubmittedJob, dict[str, Any]]:
     """Return a random job and the body of its submission."""
     queue = rng.choice(sorted(MAX_ATTEMPTS_BY_QUEUE))
@@ -63,6 +70,24 @@
     return job, batch_document(payload, declared_steps, due_ms)
 
 
+def newer_job(rng: Random, job_id: str) -> tuple[SubmittedJob, dict[str, Any]]:
+    """Return a random job of the kinds that only newer runs have, and its submission's body."""
+    queue = rng.choice(sorted(MAX_ATTEMPTS_BY_QUEUE))
+    crashes = rng.random() < CRASHING_PROBABILITY
+    run_ms = rng.randint(2_000, 6_000)
+    step = SubmittedStep(1, Resources(1_000, 1_024, rng.choice((0, 1))))
+    payload = msgspec.json.encode({"run_ms": run_ms, "crashes": crashes}).decode()
+    job = SubmittedJob(
+        job_id,
+        f"/{queue}/{job_id}",
+        payload,
+        (step,),
+        MAX_ATTEMPTS_BY_QUEUE[queue],
+        crashes=crashes,
+    )
+    return job, batch_document(payload, [declared_step(step, run_ms)])
+
+
 def declared_step(step: SubmittedStep, estimate_ms: int) -> Step:
     """Return the declaration of a step in a submission."""
     return Step(
@@ -78,8 +103,9 @@
 class LoadGenerator:
     """Callers that keep their connections open until the instance's process exits."""
 
-    def __init__(self, cluster: Cluster, seed: int) -> None:
+    def __init__(self, cluster: Cluster, seed: int, newer: bool = False) -> None:
         self._cluster = cluster
+        self._newer = newer
         self._rng = Random(seed)
         self._last_job_number = 0
         self._submitting = True
@@ -106,9 +132,15 @@
     def start(self) -> None:
         """Start all callers."""
         for _ in range(CALLER_COUNT):
-            eventlet.spawn(self._submit_loop, Random(self._rng.random()))
+            eventlet.spawn(
+                self._submit_loop, Random(self._rng.random()), random_job, SUBMIT_INTERVAL_S
+            )
         eventlet.spawn(self._poll_loop, Random(self._rng.random()))
         eventlet.spawn(self._spare_key_loop, Random(self._rng.random()))
+        if self._newer:
+            eventlet.spawn(
+                self._submit_loop, Random(self._rng.random()), newer_job, NEWER_SUBMIT_INTERVAL_S
+            )
 
     def stop(self) -> None:
         """Submit no more jobs and cancel long-running ones; polling goes on."""
@@ -117,12 +149,14 @@
             if self._cluster.checker.job(job_id).long_running:
                 self._to_cancel.add(job_id)
 
-    def _submit_loop(self, rng: Random) -> None:
+    def _submit_loop(
+        self, rng: Random, job_source: JobSource, interval_s: tuple[float, float]
+    ) -> None:
         http = HttpClient()
         self._active_callers += 1
         while self._submitting:
             self._last_job_number += 1
-            job, document = random_job(rng, f"{self._last_job_number:016x}")
+            job, document = job_source(rng, f"{self._last_job_number:016x}")
             self._cluster.checker.on_submit(job)
             answer = self._submit(http, rng, job, document)
             self._cluster.checker.on_submission_result(job.job_id, answer)
@@ -132,7 +166,7 @@
                 self._cluster.run_after(
                     rng.uniform(*CANCEL_DELAY_S), partial(self._to_cancel.add, job.job_id)
                 )
-            eventlet.sleep(rng.uniform(*SUBMIT_INTERVAL_S))
+            eventlet.sleep(rng.uniform(*interval_s))
         self._active_callers -= 1
 
     def _submit(
--- a/libs/soak/src/hornbeamfold/soak/records.py
+++ b/libs/soak/src/hornbeamfold/soak/records.py
@@ -27,7 +27,10 @@
 
 @dataclass(frozen=True)
 class SubmittedJob:
-    """A job as a caller submitted it; `due_ms` is a Unix time, 0 if the job may start at once."""
+    """A job as a caller submitted it; `due_ms` is a Unix time, 0 if the job may start at once.
+
+    The tasks of a job that `crashes` crash their workers.
+    """
 
     job_id: str
     path: str
@@ -35,6 +38,7 @@
     steps: tuple[SubmittedStep, ...]
     max_attempts: int
     due_ms: int = 0
+    crashes: bool = False
 
     @property
     def long_running(self) -> bool:
--- a/libs/soak/tests/test_checker.py
+++ b/libs/soak/tests/test_checker.py
@@ -102,6 +102,67 @@
         self.start(FIRST, 3)
         self.assertEqual(self.violated(), ["attempts are bounded"])
 
+    def crash(self, task: TaskRef, run: int, job: str = JOB) -> None:
+        """Start a run and crash its worker."""
+        self.start(task, run, job=job)
+        name = RunName(job, task, run)
+        self.observer.crashed(worker(), (name,))
+        self.observer.lost(worker(), name)
+
+    def submit_crashing_job(self) -> str:
+        crashing = SubmittedJob(
+            "e" * 16, "/urgent/e", "work", (SubmittedStep(1, Resources()),), 9, crashes=True
+        )
+        self.checker.on_submit(crashing)
+        return crashing.job_id
+
+    def test_a_third_start_after_three_crashes(self) -> None:
+        """Guards against six starts of a crashing task, and against a complaint about five."""
+        job_id = self.submit_crashing_job()
+        for run in range(1, 6):
+            self.crash(FIRST, run, job_id)
+        self.assertEqual(self.violated(), [])
+        self.crash(FIRST, 6, job_id)
+        self.assertEqual(self.violated(), ["crashing tasks are bounded"])
+
+    def test_starts_before_the_third_crash_are_not_bounded(self) -> None:
+        """Guards against counting runs that ended without a crash."""
+        job_id = self.submit_crashing_job()
+        for run in range(1, 9):
+            self.start(FIRST, run, job=job_id)
+            self.observer.lost(worker(), RunName(job_id, FIRST, run))
+        self.assertEqual(self.violated(), [])
+
+    def test_tasks_beside_a_crashing_one_are_not_bounded(self) -> None:
+        """Guards against a bound on tasks that did not crash their workers."""
+        for run in range(1, 9):
+            self.crash(FIRST, run)
+        self.assertEqual(self.violated(), [])
+
+    def test_failed_needs_two_crashed_workers(self) -> None:
+        """Guards against a job that is given up after a single crash."""
+        self.crash(FIRST, 1)
+        self.check_state("failed")
+        self.assertEqual(self.violated(), ["failed is true"])
+        self.crash(FIRST, 2)
+        self.check_state("failed")
+        self.assertEqual(self.violated(), ["failed is true"])
+
+    def test_crashes_of_two_tasks_do_not_add_up(self) -> None:
+        """Guards against a job that is given up after one crash under each of two tasks."""
+        self.crash(FIRST, 1)
+        self.crash(TaskRef(0, 0, 1), 1)
+        self.check_state("failed")
+        self.assertEqual(self.violated(), ["failed is true"])
+
+    def test_lost_runs_are_no_crashes(self) -> None:
+        """Guards against a job that is given up because workers left."""
+        for run in (1, 2):
+            self.start(FIRST, run)
+            self.observer.lost(worker(), RunName(JOB, FIRST, run))
+        self.check_state("failed")
+        self.assertEqual(self.violated(), ["failed is true"])
+
     def test_an_overfull_worker(self) -> None:
         big = SubmittedJob(
             "d" * 16, "/urgent/d", "work", (SubmittedStep(1, Resources(0, 0, 6)),), 2
