Shrink workers in the soak, and take their former capacity into account

Cause: a worker's capacity may shrink and grow again while it runs, which the soak never did. A room that has shrunk binds 4 s and one interval of the worker's registration later.

Change: the fault "worker shrinks" (newer runs only) leaves a worker a half or a quarter of its capacity, at times without accelerators, for 6 to 12 s, and restores it. "no worker is overfull" compares with the largest amount of each resource that the worker had within the bound. A start is blamed only for resources that it demands: once a worker has shrunk below what it runs, a start without accelerators does not add to those. With a capacity that never changes this reports every overfull worker as before, at the start that fills it. A new incarnation has its full capacity. A stop of an emulated run may take its time (`stop_ms`), so that room which is used before the end of a run is listed shows as well.

--- a/libs/soak/src/hornbeamfold/soak/__main__.py
+++ b/libs/soak/src/hornbeamfold/soak/__main__.py
@@ -5,6 +5,7 @@
 import tempfile
 import warnings
 from collections import Counter
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
 from typing import Annotated
@@ -22,7 +23,7 @@
 from hornbeamfold.emulator.processes import is_ready, stop_all, wait_for  # noqa: E402
 from hornbeamfold.platform.http import HttpClient  # noqa: E402
 from hornbeamfold.soak.cluster import Cluster, ClusterSize  # noqa: E402
-from hornbeamfold.soak.faults import FAULTS, SoakFault, Undo  # noqa: E402
+from hornbeamfold.soak.faults import FAULTS, NEWER_FAULTS, SoakFault, Undo  # noqa: E402
 from hornbeamfold.soak.load import LoadGenerator  # noqa: E402
 
 READY_TIMEOUT_S = 60.0
@@ -37,7 +38,13 @@
 MAX_SEED = 1 << 31
 
 
-def _inject_faults(cluster: Cluster, rng: Random, seconds: float, counts: Counter[str]) -> None:
+def _inject_faults(
+    cluster: Cluster,
+    rng: Random,
+    seconds: float,
+    faults: Sequence[SoakFault],
+    counts: Counter[str],
+) -> None:
     """Inject random faults for a time, and wait until all of them are undone."""
     pending_undos: list[Undo] = []
     end_ms = elapsed_ms() + int(seconds * 1_000)
@@ -48,7 +55,7 @@
         undo()
 
     while elapsed_ms() < end_ms:
-        fault: SoakFault = rng.choice(FAULTS)
+        fault = rng.choice(faults)
         duration_s = rng.uniform(*FAULT_DURATION_S)
         undo = fault.inject(cluster, rng)
         if undo is not None:
@@ -72,7 +79,7 @@
         cluster.violation_log.add("instances get ready", f"not within {READY_TIMEOUT_S} s")
         return
     load.start()
-    _inject_faults(cluster, Random(seed), seconds, counts)
+    _inject_faults(cluster, Random(seed), seconds, NEWER_FAULTS if newer else FAULTS, counts)
     load.stop()
     wait_for(lambda: load.active_callers == 0, LAST_CALLS_TIMEOUT_S)
     wait_for(lambda: not load.unfinished_jobs(), JOB_COMPLETION_TIMEOUT_S)
--- a/libs/soak/src/hornbeamfold/soak/checker.py
+++ b/libs/soak/src/hornbeamfold/soak/checker.py
@@ -12,6 +12,7 @@
     TaskRef,
     Worker,
 )
+from hornbeamfold.emulator.platform import REGISTRATION_INTERVAL_MS
 from hornbeamfold.emulator.workers import Observer
 from hornbeamfold.soak.records import (
     LiveRun,
@@ -29,6 +30,8 @@
 REVOCATION_BOUND_MS = 5_000
 VISIBILITY_BOUND_MS = 3_000
 EARLY_START_TOLERANCE_MS = 250
+# A smaller capacity of a worker binds after 4 s and one interval of its registration.
+SHRINK_BOUND_MS = 4_000 + REGISTRATION_INTERVAL_MS
 # A task may be given up after two workers have crashed under it; after three, it may be started
 # twice more.
 MIN_CRASHES_TO_GIVE_UP = 2
@@ -57,6 +60,8 @@
         self._crash_counts: dict[TaskKey, int] = {}
         self._starts_after_crashes: dict[TaskKey, int] = {}
         self._draining_ms: dict[tuple[str, int], int] = {}
+        # Former capacities of each incarnation of a worker, with the time of their end.
+        self._former_capacities: dict[tuple[str, int], list[tuple[int, Resources]]] = {}
         self._zones_out_ms: dict[str, int] = {}
         self._revoked_ms: dict[str, int] = {}
         self._run_count = 0
@@ -167,6 +172,11 @@
         """Record that a worker has reported that it is draining."""
         self._draining_ms[worker.worker_id, worker.born_ms] = self._clock()
 
+    def on_capacity_change(self, worker: Worker) -> None:
+        """Record that the capacity in this description of a worker is about to change."""
+        former = self._former_capacities.setdefault((worker.worker_id, worker.born_ms), [])
+        former.append((self._clock(), worker.capacity))
+
     # Observed on workers.
 
     def _on_started(self, worker: Worker, order: StartOrder) -> None:
@@ -189,7 +199,7 @@
         if key.job_id in self._refused_jobs:
             self._violation_log.add("a refusal is true", description)
         self._live_runs.setdefault(key, []).append(live_run(worker, order, now_ms))
-        self._check_capacity(worker, description)
+        self._check_capacity(worker, job.steps[key.task.step].demand, description)
 
     def _check_single_run(self, key: TaskKey, name: RunName, description: str) -> None:
         if key in self._acknowledged_done_tasks:
@@ -240,15 +250,34 @@
             if since_ms is not None and now_ms - since_ms > bound_ms:
                 self._violation_log.add(guarantee, f"{description} {now_ms - since_ms} ms after")
 
-    def _check_capacity(self, worker: Worker, description: str) -> None:
+    def _check_capacity(self, worker: Worker, demand: Resources, description: str) -> None:
         used = Resources()
         for runs in self._live_runs.values():
             for run in runs:
                 if (run.worker_id, run.born_ms) == (worker.worker_id, worker.born_ms):
                     job = self._jobs[run.name.job_id]
                     used = used + job.steps[run.name.task.step].demand
-        if not used.fits(worker.capacity):
-            self._violation_log.add("no worker is overfull", f"{description}: {used}")
+        # Where the worker has shrunk below what it runs, a start only adds to what it demands.
+        added = Resources(
+            used.cpu_millis if demand.cpu_millis else 0,
+            used.memory_mb if demand.memory_mb else 0,
+            used.accelerators if demand.accelerators else 0,
+        )
+        capacity = self._binding_capacity(worker)
+        if not added.fits(capacity):
+            self._violation_log.add("no worker is overfull", f"{description}: {used} of {capacity}")
+
+    def _binding_capacity(self, worker: Worker) -> Resources:
+        """Return the largest amount of each resource that the worker had until the bound."""
+        since_ms = self._clock() - SHRINK_BOUND_MS
+        former = self._former_capacities.get((worker.worker_id, worker.born_ms), ())
+        recent = [capacity for until_ms, capacity in former if until_ms >= since_ms]
+        capacities = (worker.capacity, *recent)
+        return Resources(
+            max(each.cpu_millis for each in capacities),
+            max(each.memory_mb for each in capacities),
+            max(each.accelerators for each in capacities),
+        )
 
     def _on_ended(self, worker: Worker, ended: EndedTask) -> None:
         key = TaskKey(ended.name.job_id, ended.name.task)
--- a/libs/soak/src/hornbeamfold/soak/cluster.py
+++ b/libs/soak/src/hornbeamfold/soak/cluster.py
@@ -9,7 +9,7 @@
 
 import eventlet
 
-from hornbeamfold.batch import Clock, elapsed_ms, unix_ms
+from hornbeamfold.batch import Clock, Resources, elapsed_ms, unix_ms
 from hornbeamfold.emulator.callers import coordinator_of
 from hornbeamfold.emulator.platform import (
     API_KEY,
@@ -27,6 +27,7 @@
     wait_for,
     write_settings,
 )
+from hornbeamfold.emulator.workers import EmulatedWorker
 from hornbeamfold.soak.checker import Checker
 from hornbeamfold.soak.proxy import Link
 from hornbeamfold.soak.records import ViolationLog
@@ -222,6 +223,11 @@
         self._checker.on_zone_in_service(zone)
         set_zone_out(self._platform, zone, False)
 
+    def set_capacity(self, emulated: EmulatedWorker, capacity: Resources) -> None:
+        """Change the capacity of a worker; its entry shows this with its next regular write."""
+        self._checker.on_capacity_change(emulated.worker)
+        emulated.update_description(capacity=capacity)
+
     def mark_all_disturbed(self) -> None:
         """Record a disturbance of all instances, such as a fault of the store."""
         for instance in self._instances:
--- a/libs/soak/src/hornbeamfold/soak/faults.py
+++ b/libs/soak/src/hornbeamfold/soak/faults.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from hornbeamfold.batch import Resources
+from hornbeamfold.emulator.platform import CAPACITY
 from hornbeamfold.emulator.workers import NO_FAULTS, EmulatedWorker, WorkerFaults
 from hornbeamfold.soak.cluster import SPARE_KEY, ZONES, Cluster, Instance
 from hornbeamfold.soak.proxy import NO_LINK_FAULT, Link, LinkFault
@@ -16,6 +18,13 @@
 # Response time of a slow store: more than 60 times the usual 4 ms.
 SLOW_STORE_MS = 250
 LATE_EXECUTION_MS = 3_000
+# Divisors of the capacity of a worker that shrinks.
+SHRINK_DIVISORS = (2, 4)
+NO_ACCELERATORS_PROBABILITY = 0.3
+# Added to the duration of a shrink, which binds only after some seconds.
+SHRINK_DURATION_S = 6.0
+# How often the list of newer faults has a shrink, so that short runs have some.
+SHRINK_WEIGHT = 6
 # A Python program can't install a signal handler before its first line runs; until then SIGHUP
 # would end the process.
 INTERPRETER_START_MS = 150
@@ -271,6 +280,25 @@
     return lambda: cluster.run_after(DRAIN_DURATION_S, lambda: _restart_worker(cluster, emulated))
 
 
+def shrink_worker(cluster: Cluster, rng: Random) -> Undo | None:
+    """Shrink the capacity of a worker, possibly below what it runs; undoing restores it."""
+    fleet = cluster.platform.fleet
+    emulated = fleet.workers[rng.choice(sorted(fleet.workers))]
+    divisor = rng.choice(SHRINK_DIVISORS)
+    no_accelerators = rng.random() < NO_ACCELERATORS_PROBABILITY
+    if emulated.worker.capacity != CAPACITY:
+        return None
+    smaller = Resources(
+        CAPACITY.cpu_millis // divisor,
+        CAPACITY.memory_mb // divisor,
+        0 if no_accelerators else CAPACITY.accelerators // divisor,
+    )
+    cluster.set_capacity(emulated, smaller)
+    return lambda: cluster.run_after(
+        SHRINK_DURATION_S, lambda: cluster.set_capacity(emulated, CAPACITY)
+    )
+
+
 def take_zone_out_of_service(cluster: Cluster, rng: Random) -> Undo:
     """Take a zone out of service; undoing returns it to service."""
     zone = rng.choice(ZONES)
@@ -348,3 +376,9 @@
     SoakFault("configurations", publish_configurations),
     SoakFault("key revoked", revoke_key),
 )
+
+# Faults that recorded seeds lack, because they would change what these seeds replay.
+NEWER_FAULTS: tuple[SoakFault, ...] = (
+    *FAULTS,
+    *[SoakFault("worker shrinks", shrink_worker)] * SHRINK_WEIGHT,
+)
--- a/libs/soak/src/hornbeamfold/soak/load.py
+++ b/libs/soak/src/hornbeamfold/soak/load.py
@@ -31,6 +31,8 @@
 # Interval between two jobs of the kinds that only newer runs have.
 NEWER_SUBMIT_INTERVAL_S = (0.4, 1.6)
 CRASHING_PROBABILITY = 0.15
+# Just below the workers' bound of 200 ms.
+SLOW_STOP_MS = 180
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 REFUSAL_STATUSES = frozenset({400, 401, 404, 429, 503})
 # A graceful stop violates nothing by aborting a call that was sent at most this long before.
@@ -76,7 +78,8 @@
     crashes = rng.random() < CRASHING_PROBABILITY
     run_ms = rng.randint(2_000, 6_000)
     step = SubmittedStep(1, Resources(1_000, 1_024, rng.choice((0, 1))))
-    payload = msgspec.json.encode({"run_ms": run_ms, "crashes": crashes}).decode()
+    work = {"run_ms": run_ms, "crashes": crashes, "stop_ms": rng.choice((0, SLOW_STOP_MS))}
+    payload = msgspec.json.encode(work).decode()
     job = SubmittedJob(
         job_id,
         f"/{queue}/{job_id}",
--- a/libs/soak/tests/test_checker.py
+++ b/libs/soak/tests/test_checker.py
@@ -3,9 +3,10 @@
 import contextlib
 import io
 import unittest
+from dataclasses import replace
 
 from hornbeamfold.batch import EndedTask, Resources, RunEnd, RunName, StartOrder, TaskRef, Worker
-from hornbeamfold.soak.checker import Checker
+from hornbeamfold.soak.checker import SHRINK_BOUND_MS, Checker
 from hornbeamfold.soak.records import SubmissionResult, SubmittedJob, SubmittedStep, ViolationLog
 
 JOB = "00000000000000a1"
@@ -172,6 +173,61 @@
         self.start(FIRST, job=big.job_id)
         self.assertEqual(self.violated(), ["no worker is overfull"])
 
+    def shrink(self, capacity: Resources) -> Worker:
+        """Change the capacity of the worker, and return its new description."""
+        self.checker.on_capacity_change(worker())
+        return replace(worker(), capacity=capacity)
+
+    def test_a_start_on_a_shrunk_worker(self) -> None:
+        """Guards against a smaller capacity that never binds, or binds before its bound."""
+        shrunk = self.shrink(Resources(16_000, 64_000, 2))
+        self.now += SHRINK_BOUND_MS
+        self.start(FIRST, on=shrunk)
+        self.assertEqual(self.violated(), [])
+        self.now += 1
+        self.start(TaskRef(0, 0, 1), on=shrunk)
+        self.assertEqual(self.violated(), ["no worker is overfull"])
+
+    def test_a_worker_that_has_grown_back_is_not_overfull(self) -> None:
+        """Guards against a smaller capacity that binds after it has grown again."""
+        shrunk = self.shrink(Resources())
+        self.now += SHRINK_BOUND_MS + 1
+        self.checker.on_capacity_change(shrunk)
+        self.start(FIRST)
+        self.assertEqual(self.violated(), [])
+
+    def test_a_larger_capacity_in_between_counts_for_the_bound(self) -> None:
+        """Guards against a bound that counts from the first of two changes."""
+        self.checker.on_capacity_change(self.shrink(Resources()))
+        self.now += SHRINK_BOUND_MS + 1
+        shrunk = self.shrink(Resources())
+        self.start(FIRST, on=shrunk)
+        self.assertEqual(self.violated(), [])
+
+    def test_a_start_without_accelerators_on_a_worker_that_has_lost_its_own(self) -> None:
+        """Guards against blaming a start for a resource that it does not demand."""
+        self.start(FIRST)
+        shrunk = self.shrink(Resources(16_000, 64_000, 0))
+        self.now += SHRINK_BOUND_MS + 1
+        light = SubmittedJob(
+            "f" * 16, "/urgent/f", "work", (SubmittedStep(1, Resources(1_000)),), 2
+        )
+        self.checker.on_submit(light)
+        self.start(FIRST, on=shrunk, job=light.job_id)
+        self.assertEqual(self.violated(), [])
+
+    def test_a_run_that_is_being_stopped_still_counts(self) -> None:
+        """Guards against room that is free before the end of a run is listed."""
+        self.start(FIRST)
+        shrunk = self.shrink(Resources(16_000, 64_000, 4))
+        self.now += SHRINK_BOUND_MS + 1
+        self.start(TaskRef(0, 0, 1), on=shrunk)
+        self.assertEqual(self.violated(), ["no worker is overfull"])
+        self.end(FIRST, 1, RunEnd.STOPPED)
+        self.end(TaskRef(0, 0, 1), 1, RunEnd.STOPPED)
+        self.start(FIRST, 2, on=shrunk)
+        self.assertEqual(self.violated(), ["no worker is overfull"])
+
     def test_starts_after_the_time_bounds(self) -> None:
         self.checker.on_zone_out_of_service("sousse")
         self.checker.on_worker_draining(worker(2, "sfax"))
