Find ready work that waits beside room in the soak

Cause: users report jobs that have nothing running though their turn has come and there is room: for 3 s nothing of a job runs, its tasks fit twice and under half of the accelerators are in use. The soak had no such check, no spells without faults, and no steps that prefer a rack.

Change: the guarantee "ready work runs where there is room", checked while no fault is active, none was within 4 s, and no worker has crashed within 10 s (an order that a crashed worker did not answer counts until the lease of 6 s has expired). Room is counted on workers that do not drain and have not just started; a gang needs room for two whole gangs. The check also runs after the load of plain runs, whose sequences it does not touch. Newer runs have steps that prefer a rack and gangs for one rack, whose tasks run 3 to 8 s, fewer usual jobs, so that accelerators stay idle, and calm spells now and then and at the end. Crashing tasks come with odd seeds only: on this code they go on for good, and leave no calm spell. The summary line shows the longest wait beside room, so a run without any can be told.

--- a/libs/soak/src/hornbeamfold/soak/__main__.py
+++ b/libs/soak/src/hornbeamfold/soak/__main__.py
@@ -35,6 +35,10 @@
 # and overlapping.
 FAULT_INTERVAL_S = (0.2, 2.5)
 FAULT_DURATION_S = (0.3, 6.0)
+CALM_SPELL_PROBABILITY = 0.06
+CALM_SPELL_S = 8.0
+# Allows all faults to end, including those that last longer than until they are undone.
+CALM_TIMEOUT_S = 25.0
 MAX_SEED = 1 << 31
 
 
@@ -42,10 +46,14 @@
     cluster: Cluster,
     rng: Random,
     seconds: float,
-    faults: Sequence[SoakFault],
+    newer: bool,
     counts: Counter[str],
 ) -> None:
-    """Inject random faults for a time, and wait until all of them are undone."""
+    """Inject random faults for a time, and wait until all of them are undone.
+
+    Newer runs have calm spells in between and at the end.
+    """
+    faults: Sequence[SoakFault] = NEWER_FAULTS if newer else FAULTS
     pending_undos: list[Undo] = []
     end_ms = elapsed_ms() + int(seconds * 1_000)
 
@@ -53,19 +61,32 @@
         eventlet.sleep(duration_s)
         pending_undos.remove(undo)
         undo()
+        cluster.end_fault()
 
     while elapsed_ms() < end_ms:
         fault = rng.choice(faults)
         duration_s = rng.uniform(*FAULT_DURATION_S)
         undo = fault.inject(cluster, rng)
         if undo is not None:
+            cluster.begin_fault()
             counts[fault.name] += 1
             print(f"{fault.name} for {duration_s:.1f} s", flush=True)
             pending_undos.append(undo)
             eventlet.spawn(undo_after, undo, duration_s)
         eventlet.sleep(rng.uniform(*FAULT_INTERVAL_S))
+        if newer and rng.random() < CALM_SPELL_PROBABILITY:
+            _stay_calm(cluster)
     wait_for(lambda: not pending_undos, FAULT_DURATION_S[1] + 1)
     wait_for(lambda: not any(instance.busy for instance in cluster.instances), LAST_CALLS_TIMEOUT_S)
+    if newer:
+        _stay_calm(cluster)
+
+
+def _stay_calm(cluster: Cluster) -> None:
+    """Wait until all faults are over and leave the cluster undisturbed for a while."""
+    calm = wait_for(lambda: cluster.calm, CALM_TIMEOUT_S)
+    print(f"calm for {CALM_SPELL_S} s" if calm else "still not calm", flush=True)
+    eventlet.sleep(CALM_SPELL_S)
 
 
 def _run_soak(cluster: Cluster, seconds: float, seed: int, newer: bool) -> None:
@@ -79,7 +100,8 @@
         cluster.violation_log.add("instances get ready", f"not within {READY_TIMEOUT_S} s")
         return
     load.start()
-    _inject_faults(cluster, Random(seed), seconds, NEWER_FAULTS if newer else FAULTS, counts)
+    eventlet.spawn(cluster.watch_ready_work)
+    _inject_faults(cluster, Random(seed), seconds, newer, counts)
     load.stop()
     wait_for(lambda: load.active_callers == 0, LAST_CALLS_TIMEOUT_S)
     wait_for(lambda: not load.unfinished_jobs(), JOB_COMPLETION_TIMEOUT_S)
@@ -91,7 +113,8 @@
     print(f"faults: {dict(counts)}")
     print(
         f"{len(cluster.checker.accepted_ms)} jobs accepted, {cluster.checker.run_count} runs, "
-        f"final states {dict(Counter(load.final_states.values()))}"
+        f"final states {dict(Counter(load.final_states.values()))}, "
+        f"longest wait beside room {cluster.ready_work.longest_wait_ms} ms"
     )
 
 
--- a/libs/soak/src/hornbeamfold/soak/checker.py
+++ b/libs/soak/src/hornbeamfold/soak/checker.py
@@ -14,6 +14,7 @@
 )
 from hornbeamfold.emulator.platform import REGISTRATION_INTERVAL_MS
 from hornbeamfold.emulator.workers import Observer
+from hornbeamfold.soak.ready_work import WaitingStep
 from hornbeamfold.soak.records import (
     LiveRun,
     SubmissionResult,
@@ -30,6 +31,7 @@
 REVOCATION_BOUND_MS = 5_000
 VISIBILITY_BOUND_MS = 3_000
 EARLY_START_TOLERANCE_MS = 250
+FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 # A smaller capacity of a worker binds after 4 s and one interval of its registration.
 SHRINK_BOUND_MS = 4_000 + REGISTRATION_INTERVAL_MS
 # A task may be given up after two workers have crashed under it; after three, it may be started
@@ -37,6 +39,9 @@
 MIN_CRASHES_TO_GIVE_UP = 2
 MAX_CRASHES = 3
 MAX_STARTS_AFTER_CRASHES = 2
+# After a crash an order that the worker has not answered may count as running until the lease of
+# 6 s has expired, and a disturbance counts for another 4 s.
+CRASH_ALLOWANCE_MS = 10_000
 
 
 class Checker:
@@ -64,6 +69,8 @@
         self._former_capacities: dict[tuple[str, int], list[tuple[int, Resources]]] = {}
         self._zones_out_ms: dict[str, int] = {}
         self._revoked_ms: dict[str, int] = {}
+        self._ended_jobs: set[str] = set()
+        self._last_crash_ms: int | None = None
         self._run_count = 0
 
     @property
@@ -116,6 +123,8 @@
 
     def check_state(self, job_id: str, state: str) -> None:
         """Check a job state that a caller received."""
+        if state in FINAL_STATES:
+            self._ended_jobs.add(job_id)
         job = self._jobs[job_id]
         keys = [TaskKey(job_id, ref) for ref in job.task_refs()]
         if state == "completed" and not all(key in self._done_tasks for key in keys):
@@ -132,6 +141,52 @@
             or self._crash_counts.get(key, 0) >= MIN_CRASHES_TO_GIVE_UP
         )
 
+    def used_resources(self) -> dict[tuple[str, int], Resources]:
+        """Return what the live runs on each incarnation of a worker use."""
+        used: dict[tuple[str, int], Resources] = {}
+        for runs in self._live_runs.values():
+            for run in runs:
+                demand = self._jobs[run.name.job_id].steps[run.name.task.step].demand
+                key = (run.worker_id, run.born_ms)
+                used[key] = used.get(key, Resources()) + demand
+        return used
+
+    def waiting_steps(self) -> list[WaitingStep]:
+        """Return the steps whose turn has come, of accepted jobs that have nothing running.
+
+        There are none for some time after a worker has crashed.
+        """
+        if (
+            self._last_crash_ms is not None
+            and self._clock() - self._last_crash_ms < CRASH_ALLOWANCE_MS
+        ):
+            return []
+        live_jobs = {key.job_id for key, runs in self._live_runs.items() if runs}
+        excluded = live_jobs | self._ended_jobs | self._cancel_requested_jobs
+        found: list[WaitingStep] = []
+        for job_id in self._accepted_ms:
+            if job_id in excluded:
+                continue
+            job = self._jobs[job_id]
+            keys = [TaskKey(job_id, ref) for ref in job.task_refs()]
+            if self._wall_clock() < job.due_ms or any(
+                self._may_be_given_up(job, key) for key in keys
+            ):
+                continue
+            for index, step in enumerate(job.steps):
+                waiting = [
+                    key for key in keys if key.task.step == index and key not in self._done_tasks
+                ]
+                ready = all(
+                    key in self._acknowledged_done_tasks
+                    for key in keys
+                    if key.task.step in step.after
+                )
+                if waiting and ready:
+                    tasks = step.count if step.gang else len(waiting)
+                    found.append(WaitingStep(job_id, index, tasks, step.demand))
+        return found
+
     def check_unknown_job(self, job_id: str, asked_ms: int) -> None:
         """Check an answer that a job is unknown."""
         accepted = self._accepted_ms.get(job_id)
@@ -251,12 +306,7 @@
                 self._violation_log.add(guarantee, f"{description} {now_ms - since_ms} ms after")
 
     def _check_capacity(self, worker: Worker, demand: Resources, description: str) -> None:
-        used = Resources()
-        for runs in self._live_runs.values():
-            for run in runs:
-                if (run.worker_id, run.born_ms) == (worker.worker_id, worker.born_ms):
-                    job = self._jobs[run.name.job_id]
-                    used = used + job.steps[run.name.task.step].demand
+        used = self.used_resources()[worker.worker_id, worker.born_ms]
         # Where the worker has shrunk below what it runs, a start only adds to what it demands.
         added = Resources(
             used.cpu_millis if demand.cpu_millis else 0,
@@ -305,6 +355,7 @@
         self._remove_live(worker, TaskKey(name.job_id, name.task), name)
 
     def _on_crashed(self, worker: Worker, names: tuple[RunName, ...]) -> None:
+        self._last_crash_ms = self._clock()
         for name in names:
             key = TaskKey(name.job_id, name.task)
             self._crash_counts[key] = self._crash_counts.get(key, 0) + 1
--- a/libs/soak/src/hornbeamfold/soak/cluster.py
+++ b/libs/soak/src/hornbeamfold/soak/cluster.py
@@ -30,6 +30,7 @@
 from hornbeamfold.emulator.workers import EmulatedWorker
 from hornbeamfold.soak.checker import Checker
 from hornbeamfold.soak.proxy import Link
+from hornbeamfold.soak.ready_work import ReadyWorkMonitor, measure_room
 from hornbeamfold.soak.records import ViolationLog
 
 ZONES = ("sousse", "monastir", "sfax")
@@ -40,8 +41,9 @@
 # A worker's clock may run up to 2% slow.
 MIN_CLOCK_RATE = 0.98
 MAX_CLOCK_OFFSET_MS = 1_000_000
-# An instance counts as disturbed for this long after its last disturbance.
+# An instance or a worker counts as disturbed for this long after its last disturbance.
 DISTURBANCE_WINDOW_MS = 4_000
+READY_WORK_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -153,6 +155,9 @@
         self._platform = start_platform(
             ZONES, size.workers, elapsed_ms, self._checker.observer, self._make_worker_clock
         )
+        self._ready_work = ReadyWorkMonitor(elapsed_ms, self._violation_log)
+        self._active_faults = 0
+        self._last_fault_ms = elapsed_ms()
         self._worker_links: dict[str, Link] = {}
         for worker_id, address in self._platform.worker_addresses.items():
             link = Link(f"to {worker_id}", partial(str, address))
@@ -187,6 +192,11 @@
         """The violations found so far."""
         return self._violation_log
 
+    @property
+    def ready_work(self) -> ReadyWorkMonitor:
+        """The waits of ready work."""
+        return self._ready_work
+
     @property
     def instances(self) -> tuple[Instance, ...]:
         """The instances."""
@@ -233,6 +243,40 @@
         for instance in self._instances:
             instance.mark_disturbed()
 
+    def begin_fault(self) -> None:
+        """Record that a fault is active from now on."""
+        self._active_faults += 1
+
+    def end_fault(self) -> None:
+        """Record that a fault is undone."""
+        self._active_faults -= 1
+        self._last_fault_ms = elapsed_ms()
+
     def run_after(self, seconds: float, action: Callable[[], None]) -> None:
-        """Run an action after a delay, in a separate green thread."""
-        eventlet.spawn_after(seconds, action)
+        """Run a fault's action after a delay in a green thread; the fault is active until then."""
+
+        def run() -> None:
+            action()
+            self.end_fault()
+
+        self.begin_fault()
+        eventlet.spawn_after(seconds, run)
+
+    @property
+    def calm(self) -> bool:
+        """Whether no fault is active or was so just before."""
+        last_ms = max(self._last_fault_ms, *(each.disturbed_ms for each in self._instances))
+        return self._active_faults == 0 and elapsed_ms() - last_ms > DISTURBANCE_WINDOW_MS
+
+    def watch_ready_work(self) -> None:
+        """Check until killed that ready work runs while it is calm."""
+        while True:
+            workers = [
+                emulated.worker
+                for emulated in self._platform.fleet.workers.values()
+                if not emulated.worker.draining
+                and unix_ms() - emulated.worker.born_ms > DISTURBANCE_WINDOW_MS
+            ]
+            room = measure_room(workers, self._checker.used_resources()) if self.calm else None
+            self._ready_work.update(self._checker.waiting_steps() if room else (), room)
+            eventlet.sleep(READY_WORK_INTERVAL_S)
--- a/libs/soak/src/hornbeamfold/soak/load.py
+++ b/libs/soak/src/hornbeamfold/soak/load.py
@@ -12,6 +12,7 @@
 from hornbeamfold.emulator.callers import batch_document, call
 from hornbeamfold.emulator.platform import QUEUES
 from hornbeamfold.platform.http import HttpClient
+from hornbeamfold.soak.checker import FINAL_STATES
 from hornbeamfold.soak.cluster import DISTURBANCE_WINDOW_MS, SPARE_KEY, Cluster, Instance
 from hornbeamfold.soak.records import SubmissionResult, SubmittedJob, SubmittedStep
 
@@ -28,12 +29,19 @@
 SCHEDULED_PROBABILITY = 0.1
 LONG_RUNNING_PROBABILITY = 0.06
 FAILING_PROBABILITY = 0.05
+# Newer runs have fewer callers of the usual jobs, so that accelerators stay idle.
+NEWER_CALLER_COUNT = 2
 # Interval between two jobs of the kinds that only newer runs have.
-NEWER_SUBMIT_INTERVAL_S = (0.4, 1.6)
-CRASHING_PROBABILITY = 0.15
+NEWER_SUBMIT_INTERVAL_S = (0.8, 3.0)
+# Cumulative probabilities of these kinds; the remaining jobs prefer a rack.
+CRASHING_PROBABILITY = 0.1
+ONE_RACK_PROBABILITY = 0.4
+# Steps wait for a rack in proportion to their estimates, which are their run times.
+LOCAL_RUN_MS = (3_000, 8_000)
+# By default the last rack has one worker, so that it is often full.
+RACKS = ("r-1", "r-2", "r-2")
 # Just below the workers' bound of 200 ms.
 SLOW_STOP_MS = 180
-FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 REFUSAL_STATUSES = frozenset({400, 401, 404, 429, 503})
 # A graceful stop violates nothing by aborting a call that was sent at most this long before.
 ABORT_TOLERANCE_MS = 200
@@ -72,13 +80,28 @@
     return job, batch_document(payload, declared_steps, due_ms)
 
 
-def newer_job(rng: Random, job_id: str) -> tuple[SubmittedJob, dict[str, Any]]:
-    """Return a random job of the kinds that only newer runs have, and its submission's body."""
+def newer_job(crashing: bool, rng: Random, job_id: str) -> tuple[SubmittedJob, dict[str, Any]]:
+    """Return a random job of the kinds that only newer runs have, and its submission's body.
+
+    Without `crashing`, no job crashes its workers.
+    """
     queue = rng.choice(sorted(MAX_ATTEMPTS_BY_QUEUE))
-    crashes = rng.random() < CRASHING_PROBABILITY
-    run_ms = rng.randint(2_000, 6_000)
-    step = SubmittedStep(1, Resources(1_000, 1_024, rng.choice((0, 1))))
-    work = {"run_ms": run_ms, "crashes": crashes, "stop_ms": rng.choice((0, SLOW_STOP_MS))}
+    kind = rng.random()
+    run_ms = rng.randint(*LOCAL_RUN_MS)
+    demand = Resources(32_000, 4_096, rng.choice((0, 1)))
+    crashes = crashing and kind < CRASHING_PROBABILITY
+    if crashes:
+        step = SubmittedStep(1, Resources(1_000, 1_024, rng.choice((0, 1))))
+    elif kind < ONE_RACK_PROBABILITY:
+        step = SubmittedStep(rng.randint(3, 4), demand, gang=True, one_rack=True)
+    else:
+        step = SubmittedStep(rng.randint(1, 2), demand, preferred_rack=rng.choice(RACKS))
+    work = {
+        "run_ms": run_ms,
+        "gang": step.count if step.gang else 1,
+        "crashes": crashes,
+        "stop_ms": rng.choice((0, SLOW_STOP_MS)),
+    }
     payload = msgspec.json.encode(work).decode()
     job = SubmittedJob(
         job_id,
@@ -100,6 +123,8 @@
         after=step.after,
         gang=step.gang,
         long_running=step.long_running,
+        one_rack=step.one_rack,
+        preferred_rack=step.preferred_rack,
     )
 
 
@@ -109,6 +134,7 @@
     def __init__(self, cluster: Cluster, seed: int, newer: bool = False) -> None:
         self._cluster = cluster
         self._newer = newer
+        self._seed = seed
         self._rng = Random(seed)
         self._last_job_number = 0
         self._submitting = True
@@ -134,15 +160,19 @@
 
     def start(self) -> None:
         """Start all callers."""
-        for _ in range(CALLER_COUNT):
+        for _ in range(NEWER_CALLER_COUNT if self._newer else CALLER_COUNT):
             eventlet.spawn(
                 self._submit_loop, Random(self._rng.random()), random_job, SUBMIT_INTERVAL_S
             )
         eventlet.spawn(self._poll_loop, Random(self._rng.random()))
         eventlet.spawn(self._spare_key_loop, Random(self._rng.random()))
         if self._newer:
+            # Crashes disturb the calm spells, so only odd seeds have them.
             eventlet.spawn(
-                self._submit_loop, Random(self._rng.random()), newer_job, NEWER_SUBMIT_INTERVAL_S
+                self._submit_loop,
+                Random(self._rng.random()),
+                partial(newer_job, self._seed % 2 == 1),
+                NEWER_SUBMIT_INTERVAL_S,
             )
 
     def stop(self) -> None:
@@ -166,9 +196,7 @@
             if answer is SubmissionResult.ACCEPTED and (
                 job.long_running or rng.random() < CANCEL_PROBABILITY
             ):
-                self._cluster.run_after(
-                    rng.uniform(*CANCEL_DELAY_S), partial(self._to_cancel.add, job.job_id)
-                )
+                eventlet.spawn_after(rng.uniform(*CANCEL_DELAY_S), self._to_cancel.add, job.job_id)
             eventlet.sleep(rng.uniform(*interval_s))
         self._active_callers -= 1
 
--- a/libs/soak/src/hornbeamfold/soak/records.py
+++ b/libs/soak/src/hornbeamfold/soak/records.py
@@ -23,6 +23,8 @@
     after: tuple[int, ...] = ()
     gang: bool = False
     long_running: bool = False
+    one_rack: bool = False
+    preferred_rack: str = ""
 
 
 @dataclass(frozen=True)
--- a/libs/soak/tests/test_checker.py
+++ b/libs/soak/tests/test_checker.py
@@ -6,7 +6,8 @@
 from dataclasses import replace
 
 from hornbeamfold.batch import EndedTask, Resources, RunEnd, RunName, StartOrder, TaskRef, Worker
-from hornbeamfold.soak.checker import SHRINK_BOUND_MS, Checker
+from hornbeamfold.soak.checker import CRASH_ALLOWANCE_MS, SHRINK_BOUND_MS, Checker
+from hornbeamfold.soak.ready_work import READY_BOUND_MS, ReadyWorkMonitor, measure_room
 from hornbeamfold.soak.records import SubmissionResult, SubmittedJob, SubmittedStep, ViolationLog
 
 JOB = "00000000000000a1"
@@ -20,7 +21,9 @@
     return Worker(f"w-{number}", 1, "planner", "", zone, CAPACITY)
 
 
-class CheckerTest(unittest.TestCase):
+class CheckerCase(unittest.TestCase):
+    """A checker that knows a job, with the events of its runs."""
+
     def setUp(self) -> None:
         self.now = 1_000
         self.violation_log = ViolationLog(lambda: self.now)
@@ -52,6 +55,8 @@
         """Return the guarantees that were reported as violated."""
         return [each.guarantee for each in self.violation_log.violations]
 
+
+class CheckerTest(CheckerCase):
     def test_a_normal_life_cycle_violates_nothing(self) -> None:
         self.checker.on_submission_result(JOB, SubmissionResult.ACCEPTED)
         for index in range(2):
@@ -272,5 +277,142 @@
         self.assertEqual(self.violated(), ["a key that was taken away is refused"])
 
 
+class ReadyWorkTest(CheckerCase):
+    """Waits of ready work beside room, with the checker's job of 2 tasks and 1 that follows."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.monitor = ReadyWorkMonitor(lambda: self.now, self.violation_log)
+        self.checker.on_submission_result(JOB, SubmissionResult.ACCEPTED)
+
+    def watch(self, workers: int = 3, calm: bool = True, ms: int = READY_BOUND_MS + 1) -> None:
+        """Look at the waiting work now and after some time."""
+        idle = [worker(10 + each) for each in range(workers)]
+        for wait_ms in (0, ms):
+            self.now += wait_ms
+            room = measure_room(idle, self.checker.used_resources()) if calm else None
+            with contextlib.redirect_stdout(io.StringIO()):
+                self.monitor.update(self.checker.waiting_steps(), room)
+
+    def run_all(self, job_id: str = JOB) -> None:
+        """Start and complete the two tasks of the first step."""
+        for index in range(2):
+            self.start(TaskRef(0, 0, index), job=job_id)
+            self.end(TaskRef(0, 0, index), 1, RunEnd.DONE)
+
+    def test_a_wait_beside_room(self) -> None:
+        """Guards against ready work that is never reported, or more than once."""
+        self.watch(ms=READY_BOUND_MS)
+        self.assertEqual(self.violated(), [])
+        self.watch()
+        self.watch()
+        self.assertEqual(self.violated(), ["ready work runs where there is room"])
+
+    def test_a_step_after_another_waits_from_its_end(self) -> None:
+        """Guards against work that is counted before or is not counted after its turn has come."""
+        self.start(FIRST)
+        self.watch()
+        self.end(FIRST, 1, RunEnd.DONE)
+        self.watch(ms=READY_BOUND_MS)
+        self.assertEqual([each.step for each in self.checker.waiting_steps()], [0])
+        self.start(TaskRef(0, 0, 1))
+        self.end(TaskRef(0, 0, 1), 1, RunEnd.DONE)
+        self.assertEqual([each.step for each in self.checker.waiting_steps()], [1])
+        self.assertEqual(self.violated(), [])
+        self.watch()
+        self.assertEqual(self.violated(), ["ready work runs where there is room"])
+
+    def test_a_wait_that_is_interrupted(self) -> None:
+        """Guards against adding up waits before and after a disturbance or a run."""
+        self.watch(ms=READY_BOUND_MS)
+        self.watch(calm=False, ms=1)
+        self.watch(ms=READY_BOUND_MS)
+        self.start(FIRST)
+        self.watch(ms=1)
+        self.end(FIRST, 1, RunEnd.STOPPED)
+        self.watch(ms=READY_BOUND_MS)
+        self.assertEqual(self.violated(), [])
+
+    def test_waits_that_are_allowed(self) -> None:
+        """Guards against complaints about jobs that need not run."""
+        for name, act in {
+            "cancelled": lambda: self.checker.on_cancel_request(JOB),
+            "ended": lambda: self.checker.check_state(JOB, "cancelled"),
+            "out of attempts": lambda: [
+                self.end(FIRST, run, RunEnd.FAILED, recorded=False) for run in (1, 2)
+            ],
+            "beside a crash": lambda: self.observer.crashed(worker(), ()),
+        }.items():
+            with self.subTest(name):
+                self.setUp()
+                with contextlib.redirect_stdout(io.StringIO()):
+                    act()
+                before = self.violated()
+                self.watch()
+                self.assertEqual(self.violated(), before)
+
+    def test_a_crash_excuses_waits_for_a_while(self) -> None:
+        """Guards against waits that nobody watches any more after a crash."""
+        self.observer.crashed(worker(), (RunName(JOB, FIRST, 1),))
+        self.now += CRASH_ALLOWANCE_MS
+        self.watch()
+        self.assertEqual(self.violated(), ["ready work runs where there is room"])
+
+    def test_a_job_that_may_be_given_up(self) -> None:
+        """Guards against complaints about a task that has crashed two workers."""
+        for run in (1, 2):
+            self.observer.crashed(worker(), (RunName(JOB, FIRST, run),))
+        self.now += CRASH_ALLOWANCE_MS
+        self.watch()
+        self.assertEqual(self.violated(), [])
+
+    def test_a_scheduled_job_waits_from_its_time(self) -> None:
+        """Guards against complaints about jobs that are not due."""
+        due = SubmittedJob(
+            "b" * 16, "/urgent/b", "work", (SubmittedStep(1, Resources()),), 2, self.now + 5_000
+        )
+        self.run_all()
+        self.checker.on_cancel_request(JOB)
+        self.checker.on_submit(due)
+        self.checker.on_submission_result(due.job_id, SubmissionResult.ACCEPTED)
+        self.watch(ms=4_999)
+        self.assertEqual(self.violated(), [])
+        self.watch()
+        self.watch()
+        self.assertEqual(self.violated(), ["ready work runs where there is room"])
+
+    def test_room_for_all_that_waits_only_once(self) -> None:
+        """Guards against counting room that other work may need: 2 tasks need 16 accelerators."""
+        self.watch(workers=1)
+        self.assertEqual(self.violated(), [])
+        self.watch(workers=2)
+        self.assertEqual(self.violated(), ["ready work runs where there is room"])
+
+    def test_room_of_which_half_is_in_use(self) -> None:
+        """Guards against complaints about a service that is half full."""
+        beside = SubmittedJob(
+            "c" * 16, "/urgent/c", "work", (SubmittedStep(4, Resources(0, 0, 8)),), 2
+        )
+        self.checker.on_submit(beside)
+        for index in range(2):
+            self.start(TaskRef(0, 0, index), job=beside.job_id, on=worker(10 + index))
+        self.watch(workers=4)
+        self.assertEqual(self.violated(), [])
+        self.watch(workers=5)
+        self.assertEqual(self.violated(), ["ready work runs where there is room"])
+
+    def test_a_gang_needs_room_for_two_whole_gangs(self) -> None:
+        """Guards against counting the missing members of a gang instead of all."""
+        steps = (SubmittedStep(4, Resources(0, 0, 4), gang=True, one_rack=True),)
+        gang = SubmittedJob("d" * 16, "/urgent/d", "work", steps, 2)
+        self.checker.on_cancel_request(JOB)
+        self.checker.on_submit(gang)
+        self.checker.on_submission_result(gang.job_id, SubmissionResult.ACCEPTED)
+        self.watch(workers=3)
+        self.assertEqual(self.violated(), [])
+        self.watch(workers=4)
+        self.assertEqual(self.violated(), ["ready work runs where there is room"])
+
+
 if __name__ == "__main__":
     unittest.main()
