--- a/libs/soak/tests/test_soak.py
+++ b/libs/soak/tests/test_soak.py
@@ -29,9 +29,24 @@
         """Guards against a second run of a task that a worker accepted as it began again."""
         self.check_seed(9101, seconds=22, instances=6)
 
-    def check_seed(self, seed: int, seconds: int, instances: int) -> None:
+    def test_newer_seed_604(self) -> None:
+        """Shrinks workers, and has steps that prefer a rack, gangs for one rack and calm spells."""
+        self.check_seed(604, 14, 4, "--newer")
+
+    def test_newer_seed_603(self) -> None:
+        """Guards against tasks that crash one worker after the other without a bound.
+
+        Some were started more than ten times.
+        """
+        self.check_seed(603, 22, 4, "--newer")
+
+    def test_newer_seed_554(self) -> None:
+        """Guards against a step that waits for its rack over 3 s while other racks are idle."""
+        self.check_seed(554, 20, 4, "--newer")
+
+    def check_seed(self, seed: int, seconds: int, instances: int, *options: str) -> None:
         """Fail if any guarantee is violated."""
-        done = self.soak("--seed", seed, "--seconds", seconds, "--instances", instances)
+        done = self.soak("--seed", seed, "--seconds", seconds, "--instances", instances, *options)
         self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
 
     def soak(self, *arguments: object) -> subprocess.CompletedProcess:
