--- a/libs/soak/src/hornbeamfold/soak/load.py
+++ b/libs/soak/src/hornbeamfold/soak/load.py
@@ -1,5 +1,6 @@
 """The load of the soak: callers that submit jobs, cancel some, and poll the states of all."""
 
+from collections.abc import Callable
 from functools import partial
 from random import Random
 from typing import Any
@@ -11,6 +12,7 @@
 from hornbeamfold.emulator.callers import batch_document, call
 from hornbeamfold.emulator.platform import QUEUES
 from hornbeamfold.platform.http import HttpClient
+from hornbeamfold.soak.checker import FINAL_STATES
 from hornbeamfold.soak.cluster import DISTURBANCE_WINDOW_MS, SPARE_KEY, Cluster, Instance
 from hornbeamfold.soak.records import SubmissionResult, SubmittedJob, SubmittedStep
 
@@ -27,12 +29,27 @@
 SCHEDULED_PROBABILITY = 0.1
 LONG_RUNNING_PROBABILITY = 0.06
 FAILING_PROBABILITY = 0.05
-FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
+# Newer runs have fewer callers of the usual jobs, so that accelerators stay idle.
+NEWER_CALLER_COUNT = 2
+# Interval between two jobs of the kinds that only newer runs have.
+NEWER_SUBMIT_INTERVAL_S = (0.8, 3.0)
+# Cumulative probabilities of these kinds; the remaining jobs prefer a rack.
+CRASHING_PROBABILITY = 0.1
+ONE_RACK_PROBABILITY = 0.4
+# Steps wait for a rack in proportion to their estimates, which are their run times.
+LOCAL_RUN_MS = (3_000, 8_000)
+# By default the last rack has one worker, so that it is often full.
+RACKS = ("r-1", "r-2", "r-2")
+# Just below the workers' bound of 200 ms.
+SLOW_STOP_MS = 180
 REFUSAL_STATUSES = frozenset({400, 401, 404, 429, 503})
 # A graceful stop violates nothing by aborting a call that was sent at most this long before.
 ABORT_TOLERANCE_MS = 200
 
 
+JobSource = Callable[[Random, str], tuple[SubmittedJob, dict[str, Any]]]
+
+
 def random_job(rng: Random, job_id: str) -> tuple[SubmittedJob, dict[str, Any]]:
     """Return a random job and the body of its submission."""
     queue = rng.choice(sorted(MAX_ATTEMPTS_BY_QUEUE))
@@ -63,6 +80,40 @@
     return job, batch_document(payload, declared_steps, due_ms)
 
 
+def newer_job(crashing: bool, rng: Random, job_id: str) -> tuple[SubmittedJob, dict[str, Any]]:
+    """Return a random job of the kinds that only newer runs have, and its submission's body.
+
+    Without `crashing`, no job crashes its workers.
+    """
+    queue = rng.choice(sorted(MAX_ATTEMPTS_BY_QUEUE))
+    kind = rng.random()
+    run_ms = rng.randint(*LOCAL_RUN_MS)
+    demand = Resources(32_000, 4_096, rng.choice((0, 1)))
+    crashes = crashing and kind < CRASHING_PROBABILITY
+    if crashes:
+        step = SubmittedStep(1, Resources(1_000, 1_024, rng.choice((0, 1))))
+    elif kind < ONE_RACK_PROBABILITY:
+        step = SubmittedStep(rng.randint(3, 4), demand, gang=True, one_rack=True)
+    else:
+        step = SubmittedStep(rng.randint(1, 2), demand, preferred_rack=rng.choice(RACKS))
+    work = {
+        "run_ms": run_ms,
+        "gang": step.count if step.gang else 1,
+        "crashes": crashes,
+        "stop_ms": rng.choice((0, SLOW_STOP_MS)),
+    }
+    payload = msgspec.json.encode(work).decode()
+    job = SubmittedJob(
+        job_id,
+        f"/{queue}/{job_id}",
+        payload,
+        (step,),
+        MAX_ATTEMPTS_BY_QUEUE[queue],
+        crashes=crashes,
+    )
+    return job, batch_document(payload, [declared_step(step, run_ms)])
+
+
 def declared_step(step: SubmittedStep, estimate_ms: int) -> Step:
     """Return the declaration of a step in a submission."""
     return Step(
@@ -72,14 +123,18 @@
         after=step.after,
         gang=step.gang,
         long_running=step.long_running,
+        one_rack=step.one_rack,
+        preferred_rack=step.preferred_rack,
     )
 
 
 class LoadGenerator:
     """Callers that keep their connections open until the instance's process exits."""
 
-    def __init__(self, cluster: Cluster, seed: int) -> None:
+    def __init__(self, cluster: Cluster, seed: int, newer: bool = False) -> None:
         self._cluster = cluster
+        self._newer = newer
+        self._seed = seed
         self._rng = Random(seed)
         self._last_job_number = 0
         self._submitting = True
@@ -105,10 +160,20 @@
 
     def start(self) -> None:
         """Start all callers."""
-        for _ in range(CALLER_COUNT):
-            eventlet.spawn(self._submit_loop, Random(self._rng.random()))
+        for _ in range(NEWER_CALLER_COUNT if self._newer else CALLER_COUNT):
+            eventlet.spawn(
+                self._submit_loop, Random(self._rng.random()), random_job, SUBMIT_INTERVAL_S
+            )
         eventlet.spawn(self._poll_loop, Random(self._rng.random()))
         eventlet.spawn(self._spare_key_loop, Random(self._rng.random()))
+        if self._newer:
+            # Crashes disturb the calm spells, so only odd seeds have them.
+            eventlet.spawn(
+                self._submit_loop,
+                Random(self._rng.random()),
+                partial(newer_job, self._seed % 2 == 1),
+                NEWER_SUBMIT_INTERVAL_S,
+            )
 
     def stop(self) -> None:
         """Submit no more jobs and cancel long-running ones; polling goes on."""
@@ -117,22 +182,22 @@
             if self._cluster.checker.job(job_id).long_running:
                 self._to_cancel.add(job_id)
 
-    def _submit_loop(self, rng: Random) -> None:
+    def _submit_loop(
+        self, rng: Random, job_source: JobSource, interval_s: tuple[float, float]
+    ) -> None:
         http = HttpClient()
         self._active_callers += 1
         while self._submitting:
             self._last_job_number += 1
-            job, document = random_job(rng, f"{self._last_job_number:016x}")
+            job, document = job_source(rng, f"{self._last_job_number:016x}")
             self._cluster.checker.on_submit(job)
             answer = self._submit(http, rng, job, document)
             self._cluster.checker.on_submission_result(job.job_id, answer)
             if answer is SubmissionResult.ACCEPTED and (
                 job.long_running or rng.random() < CANCEL_PROBABILITY
             ):
-                self._cluster.run_after(
-                    rng.uniform(*CANCEL_DELAY_S), partial(self._to_cancel.add, job.job_id)
-                )
-            eventlet.sleep(rng.uniform(*SUBMIT_INTERVAL_S))
+                eventlet.spawn_after(rng.uniform(*CANCEL_DELAY_S), self._to_cancel.add, job.job_id)
+            eventlet.sleep(rng.uniform(*interval_s))
         self._active_callers -= 1
 
     def _submit(
--- a/libs/soak/src/hornbeamfold/soak/records.py
+++ b/libs/soak/src/hornbeamfold/soak/records.py
@@ -23,11 +23,16 @@
     after: tuple[int, ...] = ()
     gang: bool = False
     long_running: bool = False
+    one_rack: bool = False
+    preferred_rack: str = ""
 
 
 @dataclass(frozen=True)
 class SubmittedJob:
-    """A job as a caller submitted it; `due_ms` is a Unix time, 0 if the job may start at once."""
+    """A job as a caller submitted it; `due_ms` is a Unix time, 0 if the job may start at once.
+
+    The tasks of a job that `crashes` crash their workers.
+    """
 
     job_id: str
     path: str
@@ -35,6 +40,7 @@
     steps: tuple[SubmittedStep, ...]
     max_attempts: int
     due_ms: int = 0
+    crashes: bool = False
 
     @property
     def long_running(self) -> bool:
