Tell a closed connection to a worker from a slow or odd reply

A call that got no valid reply was always a NoReply with a text, whether the connection was reset under it, the worker was slow or the reply was odd. A task that crashes its workers can be recognised only by the first of these.

NoReply.closed is set for a connection that was closed or reset before the reply was complete. Nothing reads it yet. A reply that ends at the boundary of a chunk and one with a malformed chunk raise the same error, and both count as closed.

--- a/libs/workers/src/hornbeamfold/workers/exchange.py
+++ b/libs/workers/src/hornbeamfold/workers/exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from http.client import IncompleteRead
 
 from urllib3 import BaseHTTPResponse, PoolManager, Timeout
 from urllib3.exceptions import (
@@ -72,11 +73,11 @@
         return NotSent(_describe_error(call, error))
     # http.client itself raises ValueError and OSError for some malformed replies.
     except (HTTPError, OSError, ValueError) as error:
-        return NoReply(_describe_error(call, error))
+        return NoReply(_describe_error(call, error), _was_closed(error))
     try:
         body = _read_body(response, clock, deadline_ms)
     except (HTTPError, OSError, ValueError) as error:
-        return NoReply(_describe_error(call, error))
+        return NoReply(_describe_error(call, error), _was_closed(error))
     return HttpReply(response.status, body)
 
 
@@ -102,5 +103,12 @@
     return b"".join(chunks)
 
 
+def _was_closed(error: Exception) -> bool:
+    """Return whether the connection was closed or reset before the reply was complete."""
+    # urllib3 wraps the error of the socket or of http.client and keeps it as an argument.
+    causes = (error, *error.args)
+    return any(isinstance(cause, ConnectionError | IncompleteRead) for cause in causes)
+
+
 def _describe_error(call: HttpCall, error: Exception) -> str:
     return f"{call.method} {call.url}: {type(error).__name__}: {error}"
--- a/libs/workers/src/hornbeamfold/workers/messages.py
+++ b/libs/workers/src/hornbeamfold/workers/messages.py
@@ -200,9 +200,14 @@
 
 @dataclass(frozen=True)
 class NoReply:
-    """A connection was established but no valid reply arrived; the work may have run."""
+    """A connection was established but no valid reply arrived; the work may have run.
+
+    `closed` tells that the connection was closed or reset before the reply was complete, rather
+    than that the worker was too slow or sent an invalid reply.
+    """
 
     detail: str
+    closed: bool = False
 
 
 CallFailure = NotSent | NoReply
--- a/libs/workers/tests/test_client.py
+++ b/libs/workers/tests/test_client.py
@@ -149,6 +149,28 @@
                 outcome = self.client.run(self.serve(handler), RUN, 300)
                 self.assertIsInstance(outcome, NoReply, outcome)
 
+    def test_a_closed_connection_differs_from_a_slow_or_odd_reply(self) -> None:
+        """Guards against a slow worker that counts as crashed, and a crash that counts as slow."""
+
+        def reset(peer: socket.socket) -> None:
+            read_request(peer)
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+
+        cases: dict[str, tuple[ConnectionHandler, bool]] = {
+            "reset after the request": (reset, True),
+            "closed after the request": (lambda peer: read_request(peer) and None, True),
+            "part of the body": (respond_with(http(200, b'{"answer": "a', length=90)), True),
+            "silent": (lambda peer: read_request(peer) and peer.recv(1) and None, False),
+            "no HTTP": (respond_with(b"hello\r\n\r\n"), False),
+            "not JSON": (respond_with(http(200, b"<html>")), False),
+            "server error": (respond_with(http(503, b"{}")), False),
+        }
+        for name, (handler, closed) in cases.items():
+            with self.subTest(name):
+                outcome = self.client.run(self.serve(handler), RUN, 300)
+                assert isinstance(outcome, NoReply), outcome
+                self.assertEqual(outcome.closed, closed, outcome)
+
     def test_a_slow_reply_ends_at_the_timeout(self) -> None:
         """Guards against a worker that blocks a caller by sending single bytes slowly."""
 
