Place a gang again that failed in the middle of a rack

A job is placed away from the workers on which it failed while others could hold it. That was decided on a topology without those workers, in which the ones beside them became neighbours: a gang of 16 in a rack of four workers that had failed on the second and the third counted as fitting on the first and the fourth, could not be placed there, and stayed queued for ever.

The workers that are left out now keep their positions and have no resources.

--- a/libs/placement/src/hornbeamfold/placement/plan_builder.py
+++ b/libs/placement/src/hornbeamfold/placement/plan_builder.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hornbeamfold.model import (
     Job,
@@ -180,10 +180,10 @@
         self._index.hold(excluded, -1)
 
     def _fits_elsewhere(self, job: Job) -> bool:
+        # The workers that are left out keep their positions: those beside them are not adjacent.
         other_capacities = [
-            capacity
+            replace(capacity, eligible=capacity.eligible and name not in job.failed_on)
             for name, capacity in self._state.capacities.items()
-            if name not in job.failed_on
         ]
         return not infeasibility_reason(
             job.spec.shape, total_index(other_capacities, only_eligible=True)
--- a/libs/placement/tests/test_plan.py
+++ b/libs/placement/tests/test_plan.py
@@ -69,6 +69,12 @@
         cluster.submit(spec("job", 8), failed_on=tuple(cluster.machines), failures=1)
         self.assertEqual([type(event) for event in cluster.step()], [JobPlaced])
 
+    def test_a_gang_that_failed_in_the_middle_of_a_rack_is_placed_again(self):
+        """Guards against a gang that waits forever for workers that are not next to each other."""
+        cluster = Cluster(self, workers(racks=1, per_rack=4))
+        cluster.submit(spec("gang", 16), failed_on=("w01", "w02"), failures=2)
+        self.assertEqual([type(event) for event in cluster.step()], [JobPlaced])
+
     def test_infeasibility_is_reported_once_and_again_after_a_change(self):
         """Guards against a job that waits forever for a topology that does not exist."""
         cluster = Cluster(self, workers(racks=1, per_rack=2))
