Start a job no more after its workers restarted in twelve attempts in a row

A job under which workers crash was queued again without a limit: a lost member (MEMBER_LOST) and a start that took too long (START_TIMEOUT) count as no failure. Callers saw a job that was placed and queued for ever, and each attempt took down the workers of a gang.

The keepers of workers report a lost member when the worker answers without the task, reports it as lapsed, or was silent for longer than the lease; the placer, and the keeper of a silent worker, stop a gang before that. Only the first of these shows a restart: a worker that was cut off keeps its tasks as lapsed. So reports say now whether the worker restarted, also for a task during whose start the connection was closed, and for a worker that came back after its member was given up. Each instance counts such attempts in a row from the log. Restarts that were announced, of drained workers and in zones out of service do not count; a run of ten minutes, or a checkpoint that was not taken because of a loss, starts anew.

After twelve, more than the workers of a rack that restart one after the other, a keeper does not start the members any more but reports them as failed, with the reason in the detail. Three such failures on different workers, or ten, end the job as the fold has always ended failing jobs. The fold is as it was and holds no count, so instances of the former version agree on all states; they ignore the two new fields of a report.

--- a/libs/daemon/src/hornbeamfold/daemon/dispatch.py
+++ b/libs/daemon/src/hornbeamfold/daemon/dispatch.py
@@ -183,6 +183,8 @@
             if not isinstance(verdict.event, MembersReported):
                 continue
             for report in verdict.event.reports:
+                if report.not_started:
+                    continue
                 key = (report.organisation, f"{JOB_TASK_PREFIX}{report.job_id}")
                 if report.state == MemberState.FAILED:
                     self._outliers.record_failure(report.worker, key, now)
--- a/libs/daemon/src/hornbeamfold/daemon/instance.py
+++ b/libs/daemon/src/hornbeamfold/daemon/instance.py
@@ -16,6 +16,7 @@
 from hornbeamfold.daemon.http import serve_http
 from hornbeamfold.daemon.idempotent import IdempotentService, verify_answer
 from hornbeamfold.daemon.job_ages import JobAges
+from hornbeamfold.daemon.job_losses import JobLosses
 from hornbeamfold.daemon.jobs import JobService
 from hornbeamfold.daemon.operators import OperatorService
 from hornbeamfold.daemon.peering import Peering
@@ -125,6 +126,7 @@
         freshness=freshness,
         client=workers,
         job_ages=job_ages,
+        job_losses=JobLosses(),
         clock=clock,
         wall_clock=wall_clock,
         interval_ms=settings.sync_interval_ms,
--- a/libs/daemon/src/hornbeamfold/daemon/session_manager.py
+++ b/libs/daemon/src/hornbeamfold/daemon/session_manager.py
@@ -42,6 +42,7 @@
         """Wake the sessions of workers with members of the jobs that an applied entry affects."""
         del entry
         self._context.job_ages.on_applied(self._context.follower, applied)
+        self._context.job_losses.on_applied(self._context.follower.view, applied)
         for key in affected_jobs(applied):
             job = self._context.follower.view.jobs.get(key)
             if job is None:
--- a/libs/daemon/src/hornbeamfold/daemon/worker_session.py
+++ b/libs/daemon/src/hornbeamfold/daemon/worker_session.py
@@ -1,11 +1,12 @@
 """The exchanges of this instance with one worker that is assigned to it."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hornbeamfold.daemon.clock import Clock
 from hornbeamfold.daemon.follower import LogFollower
 from hornbeamfold.daemon.job_ages import JobAges
+from hornbeamfold.daemon.job_losses import JobLosses
 from hornbeamfold.daemon.worker_sync import (
     JOB_TASK_PREFIX,
     SyncPlan,
@@ -35,7 +36,7 @@
 )
 from hornbeamfold.telemetry import counter, get_logger, log_decision
 from hornbeamfold.view import partial_gangs
-from hornbeamfold.workers import SyncReply, TaskReport, TaskState, WorkerClient
+from hornbeamfold.workers import NoReply, SyncReply, TaskReport, TaskState, WorkerClient
 
 # Time to the next exchange while members start or stop, for instance after a start that was refused
 # because the slots were busy.
@@ -68,6 +69,7 @@
     freshness: Freshness
     client: WorkerClient
     job_ages: JobAges
+    job_losses: JobLosses
     clock: Clock
     wall_clock: Clock
     interval_ms: int
@@ -103,6 +105,10 @@
         self._last_result = SyncResult()
         self._submitted: dict[tuple[str, MemberState], _SubmittedReport] = {}
         self._stopped_attempts: set[tuple[tuple[str, str], int]] = set()
+        # Tasks during whose start the worker closed the connection.
+        self._interrupted_starts: frozenset[str] = frozenset()
+        # Started tasks that were reported as lost while the worker was unreachable.
+        self._lost_while_silent: dict[str, MemberReport] = {}
 
     @property
     def worker_leaving(self) -> bool:
@@ -150,6 +156,8 @@
         if isinstance(reply, SyncReply):
             self._handle_reply(plan, reply)
             return RESYNC_SOON_MS if plan.resync_soon else self._next_sync_ms(members)
+        if isinstance(reply, NoReply) and reply.closed:
+            self._interrupted_starts |= frozenset(plan.starts)
         logger.warning(
             "A worker did not answer",
             extra={"worker": self._worker, "detail": reply.detail},
@@ -172,6 +180,7 @@
                         self._context.job_ages.stopping_age(job.key, job.attempt)
                         if stopping
                         else 0,
+                        self._context.job_losses.count(job.key),
                     )
                 )
         return tuple(members)
@@ -191,21 +200,62 @@
         if plan.refusal:
             log_decision("start", "wait", plan.refusal, worker=self._worker)
 
+    def _log_given_up(self, reports: Iterable[MemberReport]) -> None:
+        for report in reports:
+            if not report.not_started:
+                continue
+            log_decision(
+                "start",
+                "refuse",
+                report.detail,
+                worker=self._worker,
+                organisation=report.organisation,
+                job_id=report.job_id,
+                attempt=report.attempt,
+                offset=self._context.follower.view.offset,
+            )
+
     def _handle_reply(self, plan: SyncPlan, reply: SyncReply) -> None:
         self._last_reply_ms = self._context.clock()
         self._task_reports = {
             report.task: report for report in reply.tasks if report.task.startswith(JOB_TASK_PREFIX)
         }
+        # A worker that had announced that it leaves was restarted on purpose.
+        left = self._worker_leaving or self._worker in self._context.leaving_workers()
         self._worker_leaving = reply.leaving
         self._context.on_load(self._worker, reply)
         # The view may have changed during the exchange, so the members are read again.
         members = self._members()
         self._last_result = read_reply(
-            members, reply, plan.request.stop, self._context.follower.view.offset
+            members,
+            reply,
+            plan.request.stop,
+            self._context.follower.view.offset,
+            self._interrupted_starts,
         )
-        self._submit_reports(self._last_result.reports)
+        reports = self._last_result.reports
+        if left:
+            reports = tuple(replace(report, worker_restarted=False) for report in reports)
+        self._log_given_up(reports)
+        self._submit_reports(reports)
+        self._report_restart(left)
+        self._interrupted_starts &= {member.task for member in members}
         self._check_partial_gangs(members)
 
+    def _report_restart(self, planned: bool) -> None:
+        """Report the tasks that a worker lost in a restart while it was unreachable.
+
+        Their attempts may have ended, so the reports need not change the view.
+        """
+        lost = [
+            replace(report, worker_restarted=True, detail="the worker restarted while unreachable")
+            for task, report in self._lost_while_silent.items()
+            if task not in self._task_reports
+        ]
+        self._lost_while_silent.clear()
+        if lost and not planned:
+            self._context.writer.submit((MembersReported(tuple(lost)),))
+
     def _submit_reports(self, reports: Iterable[MemberReport]) -> None:
         now = self._context.clock()
         due: list[MemberReport] = []
@@ -287,8 +337,11 @@
             self._stop_gangs(silent_ms)
         if silent_ms < max(LEASE_MS, self._context.freshness.lost_after(capacity.region, now)):
             return
-        reports = [
-            MemberReport(
+        reports: list[MemberReport] = []
+        for member in self._members():
+            if member.status.state in ENDED_MEMBERS:
+                continue
+            report = MemberReport(
                 member.job.key[0],
                 member.job.key[1],
                 member.job.attempt,
@@ -296,7 +349,9 @@
                 MemberState.LOST,
                 f"the worker was silent for {silent_ms} ms",
             )
-            for member in self._members()
-            if member.status.state not in ENDED_MEMBERS
-        ]
+            reports.append(report)
+            if member.status.state == MemberState.RUNNING or (
+                member.task in self._interrupted_starts
+            ):
+                self._lost_while_silent[member.task] = report
         self._submit_reports(reports)
--- a/libs/daemon/src/hornbeamfold/daemon/worker_sync.py
+++ b/libs/daemon/src/hornbeamfold/daemon/worker_sync.py
@@ -4,9 +4,10 @@
 worker is assigned to one instance, which exchanges with it regularly.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 
+from hornbeamfold.daemon.job_losses import MAX_LOSSES
 from hornbeamfold.membership import Permit
 from hornbeamfold.model.events import MemberReport
 from hornbeamfold.model.timing import (
@@ -44,13 +45,20 @@
 class WorkerMember:
     """A member on the worker with its job.
 
-    The ages are local times since the placement and the stop were applied to the view.
+    The ages are local times since the placement and the stop were applied to the view. `losses` is
+    the number of attempts of the job in a row that lost workers which restarted.
     """
 
     job: Job
     status: MemberStatus
     placed_age_ms: int
     stopping_age_ms: int
+    losses: int = 0
+
+    @property
+    def given_up(self) -> bool:
+        """Whether the member is not started because the job has lost too many workers."""
+        return self.losses >= MAX_LOSSES and self.job.state != JobState.STOPPING
 
     @property
     def task(self) -> str:
@@ -120,6 +128,11 @@
             _add_renewal(member, lists, renew)
             resync_soon = resync_soon or member.job.state == JobState.PLACED
             continue
+        if member.given_up:
+            # The exchange confirms that no other instance has started the task.
+            lists.stop.append(member.task)
+            resync_soon = True
+            continue
         if member.placed_age_ms > START_BOUND_MS:
             continue
         if not start.granted:
@@ -201,9 +214,17 @@
 
 
 def read_reply(
-    members: Iterable[WorkerMember], reply: SyncReply, stopped: Iterable[str], view_offset: int
+    members: Iterable[WorkerMember],
+    reply: SyncReply,
+    stopped: Iterable[str],
+    view_offset: int,
+    interrupted_starts: Set[str] = frozenset(),
 ) -> SyncResult:
-    """Compare a reply with the members; `stopped` are the tasks that the request asked to stop."""
+    """Compare a reply with the members.
+
+    `stopped` are the tasks that the request asked to stop, `interrupted_starts` those during whose
+    start the worker closed the connection.
+    """
     tasks = {report.task: report for report in reply.tasks}
     asked_to_stop = frozenset(stopped)
     reports: list[MemberReport] = []
@@ -217,6 +238,11 @@
         observed = _observed_state(member, report, member.task in asked_to_stop)
         if observed is None or observed == state:
             continue
+        pending = state == MemberState.PENDING
+        if pending and observed == MemberState.STOPPED and member.given_up:
+            reports.append(_report_given_up(member))
+            continue
+        started = not pending or member.task in interrupted_starts
         detail = report.detail if report is not None else "the worker does not have the task"
         checkpoint = report.checkpoint if report is not None else ""
         key = member.job.key
@@ -229,12 +255,26 @@
                 observed,
                 detail,
                 checkpoint,
+                worker_restarted=report is None and started,
             )
         )
     forget, stop = _unassigned_tasks(reply.tasks, expected, view_offset)
     return SyncResult(tuple(reports), forget, stop)
 
 
+def _report_given_up(member: WorkerMember) -> MemberReport:
+    """Return the failure of a member that was not started; enough of them fail the job."""
+    return MemberReport(
+        member.job.key[0],
+        member.job.key[1],
+        member.job.attempt,
+        member.status.member.worker,
+        MemberState.FAILED,
+        f"not started again: workers restarted under the job in {member.losses} attempts in a row",
+        not_started=True,
+    )
+
+
 _MEMBER_STATES = {
     TaskState.RUNNING: MemberState.RUNNING,
     TaskState.FINISHED: MemberState.FINISHED,
--- a/libs/model/src/hornbeamfold/model/events.py
+++ b/libs/model/src/hornbeamfold/model/events.py
@@ -115,7 +115,12 @@
 
 @dataclass(frozen=True)
 class MemberReport:
-    """The state of one gang member as observed on its worker."""
+    """The state of one gang member as observed on its worker.
+
+    `worker_restarted` tells that the worker answered without the task that it had started, so the
+    worker has restarted since. `not_started` tells that the instance withheld the start because of
+    the job, so the worker has not failed. The fold ignores both.
+    """
 
     organisation: str
     job_id: str
@@ -124,6 +129,8 @@
     state: MemberState
     detail: str = ""
     checkpoint: str = ""
+    worker_restarted: bool = False
+    not_started: bool = False
 
 
 @dataclass(frozen=True)
