Attribute the outcome of a hedged run to its own worker

When a slow urgent request was hedged, whatever came of it was put down to the first worker: callers and the check of the answer were given the name of the worker that was too slow, and the second worker was not left out of a later try after both had failed.

Each outcome is kept with its worker now, and all outcomes of a hedged run that gave no answer count.

The new test got the answer from w0 instead of w1 before. libs/daemon: 44 passed.

--- a/libs/daemon/src/hornbeamfold/daemon/idempotent.py
+++ b/libs/daemon/src/hornbeamfold/daemon/idempotent.py
@@ -1,5 +1,7 @@
 """Serves idempotent requests, with retries within a budget and hedging of slow urgent ones."""
 
+from dataclasses import dataclass
+
 import eventlet
 from eventlet.event import Event
 
@@ -19,6 +21,14 @@
 logger = get_logger("hornbeamfold.daemon.idempotent")
 
 
+@dataclass(frozen=True)
+class _Attempt:
+    """The outcome of a request on one worker."""
+
+    worker: str
+    outcome: RunOutcome
+
+
 class IdempotentService:
     """Serves the idempotent requests of one instance."""
 
@@ -41,7 +51,7 @@
         """Dispatch until a worker answers, within the deadline and the retry budget."""
         failed: set[str] = set()
         tried: set[str] = set()
-        detail = ""
+        detail = failure = ""
         ran = ExecutionStatus.NOT_RUN
         while True:
             slot = self._dispatcher.acquire(request, frozenset(tried))
@@ -54,18 +64,22 @@
                 return _with_earlier_attempts(
                     Refused(ErrorKind.STALE_VIEW, permit.reason), ran, detail
                 )
-            result = self._run_hedged(request, digest, slot, frozenset(tried))
-            if isinstance(result, RunDone):
-                return verify_answer(request, digest, result, slot.worker.name)
-            tried.add(slot.worker.name)
-            detail = getattr(result, "detail", type(result).__name__)
-            if isinstance(result, RunFailed):
-                ran = ExecutionStatus.RAN
-                failed.add(slot.worker.name)
-                if len(failed) >= MAX_FAILED_WORKERS:
-                    return Refused(ErrorKind.FAILED, detail)
-            if isinstance(result, NoReply) and ran == ExecutionStatus.NOT_RUN:
-                ran = ExecutionStatus.UNKNOWN
+            busy = True
+            for attempt in self._run_hedged(request, digest, slot, frozenset(tried)):
+                result = attempt.outcome
+                if isinstance(result, RunDone):
+                    return verify_answer(request, digest, result, attempt.worker)
+                tried.add(attempt.worker)
+                busy = busy and isinstance(result, RunBusy)
+                detail = getattr(result, "detail", type(result).__name__)
+                if isinstance(result, RunFailed):
+                    ran = ExecutionStatus.RAN
+                    failed.add(attempt.worker)
+                    failure = result.detail
+                if isinstance(result, NoReply) and ran == ExecutionStatus.NOT_RUN:
+                    ran = ExecutionStatus.UNKNOWN
+            if len(failed) >= MAX_FAILED_WORKERS:
+                return Refused(ErrorKind.FAILED, failure)
             if self._wall_clock() >= request.deadline_ms:
                 kind = (
                     ErrorKind.DEADLINE_PASSED
@@ -73,41 +87,44 @@
                     else _error_kind(ran)
                 )
                 return Refused(kind, f"The deadline passed; last attempt: {detail}", ran)
-            if not isinstance(result, RunBusy) and not self._dispatcher.may_retry(request):
+            if not busy and not self._dispatcher.may_retry(request):
                 kind = ErrorKind.OVERLOADED if ran == ExecutionStatus.NOT_RUN else _error_kind(ran)
                 return Refused(kind, f"The retry budget is exhausted; last attempt: {detail}", ran)
 
     def _run_hedged(
         self, request: Request, digest: str, slot: Slot, tried: frozenset[str]
-    ) -> RunOutcome:
-        """Run on one worker; if an urgent request takes unusually long, hedge on a second one."""
+    ) -> tuple[_Attempt, ...]:
+        """Run on one worker; if an urgent request takes unusually long, hedge on a second one.
+
+        Returns the attempt that was answered, or all attempts if none was.
+        """
         delay_ms = self._dispatcher.hedge_delay(request) if request.urgent else None
         first = eventlet.spawn(self._run_once, request, digest, slot)
         if delay_ms is None:
-            return first.wait()
+            return (first.wait(),)
         done = Event()
         first.link(_send_result, done)
         with eventlet.Timeout(delay_ms / 1_000, False):
-            return done.wait()
+            return (done.wait(),)
         fresh = self._freshness.may_start(self._clock()).granted
         exclude = tried | {slot.worker.name}
         second_slot = self._dispatcher.hedge(request, exclude) if fresh else None
         if second_slot is None:
-            return first.wait()
+            return (first.wait(),)
         second = eventlet.spawn(self._run_once, request, digest, second_slot)
         second.link(_send_result, done)
-        result = done.wait()
-        if isinstance(result, RunDone):
-            return result
+        ended = done.wait()
+        if isinstance(ended.outcome, RunDone):
+            return (ended,)
         # The first run to end gave no answer, so the result of the other one counts.
-        other = second if first.dead else first
-        other_result = other.wait()
-        return other_result if isinstance(other_result, RunDone) else result
+        other = (second if first.dead else first).wait()
+        return (other,) if isinstance(other.outcome, RunDone) else (ended, other)
 
-    def _run_once(self, request: Request, digest: str, slot: Slot) -> RunOutcome:
+    def _run_once(self, request: Request, digest: str, slot: Slot) -> _Attempt:
         self._run_count += 1
         task = f"{request_task_id(request.key, self._run_count)}/{self._incarnation}"
-        return self._dispatcher.run(request, digest, task, slot)
+        outcome = self._dispatcher.run(request, digest, task, slot)
+        return _Attempt(slot.worker.name, outcome)
 
 
 def verify_answer(request: Request, digest: str, done: RunDone, worker: str) -> Outcome:
