Give up an idempotent request under which three workers' connections broke

An idempotent request that crashes its workers was sent to one after the other: a call without a reply does not count as a failure of the request, so only the deadline or the retry budget ended it, and a hedged run took a further worker down. Callers waited until then.

A worker whose connection was closed or reset while it had the request counts now, whether its run was the first or the hedged one. After three of them the caller gets a final answer at once: the outcome is unknown, or failed if a worker reported a run. With two such workers the next try is not hedged, so that no fourth one is at risk. Workers that are slow, busy or refuse the connection are retried and hedged as before.

--- a/libs/daemon/src/hornbeamfold/daemon/idempotent.py
+++ b/libs/daemon/src/hornbeamfold/daemon/idempotent.py
@@ -12,11 +12,14 @@
 from hornbeamfold.model.errors import Done, ErrorKind, ExecutionStatus, Outcome, Refused
 from hornbeamfold.model.invariants import check_invariant
 from hornbeamfold.model.work import Request, request_task_id
-from hornbeamfold.telemetry import get_logger
+from hornbeamfold.telemetry import get_logger, log_decision
 from hornbeamfold.workers import NoReply, RunBusy, RunDone, RunFailed, RunOutcome
 
 # A request that fails on this many workers is considered faulty itself and is not retried.
 MAX_FAILED_WORKERS = 2
+# A request during which the connections to this many workers broke may crash its workers, and is
+# not retried.
+MAX_BROKEN_WORKERS = 3
 
 logger = get_logger("hornbeamfold.daemon.idempotent")
 
@@ -50,6 +53,7 @@
     def serve(self, request: Request, digest: str) -> Outcome:
         """Dispatch until a worker answers, within the deadline and the retry budget."""
         failed: set[str] = set()
+        broken: set[str] = set()
         tried: set[str] = set()
         detail = failure = ""
         ran = ExecutionStatus.NOT_RUN
@@ -65,7 +69,9 @@
                     Refused(ErrorKind.STALE_VIEW, permit.reason), ran, detail
                 )
             busy = True
-            for attempt in self._run_hedged(request, digest, slot, frozenset(tried)):
+            # A hedged run must not be the one that breaks a connection too many.
+            may_hedge = request.urgent and len(broken) + 2 <= MAX_BROKEN_WORKERS
+            for attempt in self._run_hedged(request, digest, slot, frozenset(tried), may_hedge):
                 result = attempt.outcome
                 if isinstance(result, RunDone):
                     return verify_answer(request, digest, result, attempt.worker)
@@ -76,10 +82,15 @@
                     ran = ExecutionStatus.RAN
                     failed.add(attempt.worker)
                     failure = result.detail
-                if isinstance(result, NoReply) and ran == ExecutionStatus.NOT_RUN:
-                    ran = ExecutionStatus.UNKNOWN
+                if isinstance(result, NoReply):
+                    if ran == ExecutionStatus.NOT_RUN:
+                        ran = ExecutionStatus.UNKNOWN
+                    if result.closed:
+                        broken.add(attempt.worker)
             if len(failed) >= MAX_FAILED_WORKERS:
                 return Refused(ErrorKind.FAILED, failure)
+            if len(broken) >= MAX_BROKEN_WORKERS:
+                return _give_up(request, broken, ran, detail)
             if self._wall_clock() >= request.deadline_ms:
                 kind = (
                     ErrorKind.DEADLINE_PASSED
@@ -92,13 +103,18 @@
                 return Refused(kind, f"The retry budget is exhausted; last attempt: {detail}", ran)
 
     def _run_hedged(
-        self, request: Request, digest: str, slot: Slot, tried: frozenset[str]
+        self,
+        request: Request,
+        digest: str,
+        slot: Slot,
+        tried: frozenset[str],
+        may_hedge: bool,
     ) -> tuple[_Attempt, ...]:
-        """Run on one worker; if an urgent request takes unusually long, hedge on a second one.
+        """Run on one worker; if hedging is allowed and it takes unusually long, also on a second.
 
         Returns the attempt that was answered, or all attempts if none was.
         """
-        delay_ms = self._dispatcher.hedge_delay(request) if request.urgent else None
+        delay_ms = self._dispatcher.hedge_delay(request) if may_hedge else None
         first = eventlet.spawn(self._run_once, request, digest, slot)
         if delay_ms is None:
             return (first.wait(),)
@@ -140,6 +156,26 @@
     return Refused(ErrorKind.OUTCOME_UNKNOWN, "The worker answered another request.")
 
 
+def _give_up(request: Request, broken: set[str], ran: ExecutionStatus, detail: str) -> Refused:
+    """Return the final refusal of a request that may crash its workers."""
+    workers = ", ".join(sorted(broken))
+    log_decision(
+        "retry",
+        "give up",
+        detail,
+        organisation=request.organisation,
+        request_id=request.request_id,
+        workers=workers,
+        ran=ran.value,
+    )
+    return Refused(
+        _error_kind(ran),
+        f"The connections to {len(broken)} workers broke while they had the request ({workers}); "
+        f"it may crash them and is not tried again. Last attempt: {detail}",
+        ran,
+    )
+
+
 def _send_result(thread: object, done: Event) -> None:
     """Send the result of a green thread to the event unless another thread was first."""
     if done.ready():
--- a/libs/daemon/tests/test_idempotent.py
+++ b/libs/daemon/tests/test_idempotent.py
@@ -1,4 +1,4 @@
-"""Tests of idempotent requests on workers that are slow."""
+"""Tests of idempotent requests on workers whose connections break, or that are slow."""
 
 import unittest
 from collections.abc import Callable
@@ -8,11 +8,12 @@
 
 from hornbeamfold.daemon.idempotent import IdempotentService
 from hornbeamfold.membership import Permit
-from hornbeamfold.model.errors import Done, ErrorKind, Outcome, Refused
+from hornbeamfold.model.errors import Done, ErrorKind, ExecutionStatus, Outcome, Refused
 from hornbeamfold.model.work import Request
-from hornbeamfold.workers import NoReply, RunDone, RunOutcome
+from hornbeamfold.workers import NoReply, NotSent, RunBusy, RunDone, RunFailed, RunOutcome
 
 DONE = RunDone("answer", "r", "d")
+BROKEN = NoReply("connection reset", True)
 SLOW = NoReply("timed out")
 WORKERS = 20
 HEDGE_MS = 5
@@ -54,7 +55,7 @@
         return self._run(len(self.used) - 1)
 
 
-class HedgingTest(unittest.TestCase):
+class BrokenConnectionsTest(unittest.TestCase):
     def serve(self, run: Run, urgent: bool = False) -> Outcome:
         """Serve one request and return its outcome."""
         self.dispatcher = FakeDispatcher(run)
@@ -62,6 +63,45 @@
         service = IdempotentService("i", freshness, self.dispatcher, lambda: 0, lambda: 0)
         return service.serve(Request("o", "r", "render", "b", True, urgent, 60_000), "d")
 
+    def assert_given_up(self, outcome: Outcome) -> None:
+        assert isinstance(outcome, Refused), outcome
+        self.assertEqual(
+            (outcome.kind, outcome.effective_ran, outcome.response.retry),
+            (ErrorKind.OUTCOME_UNKNOWN, ExecutionStatus.UNKNOWN, False),
+        )
+        for name in ("w0", "w1", "w2"):
+            self.assertIn(name, outcome.detail)
+        self.assertEqual(set(self.dispatcher.used), {"w0", "w1", "w2"})
+
+    def test_a_request_that_crashes_its_workers_is_given_up(self) -> None:
+        """Guards against a request that takes down one worker after the other."""
+        for urgent in (False, True):
+            with self.subTest(urgent=urgent):
+                self.assert_given_up(self.serve(lambda number: BROKEN, urgent))
+
+    def test_hedged_runs_count(self) -> None:
+        """Guards against a fourth worker that crashes because two runs were under way at once."""
+
+        def crash_late(number: int) -> RunOutcome:
+            eventlet.sleep(4 * HEDGE_MS / 1_000)
+            return BROKEN
+
+        self.assert_given_up(self.serve(crash_late, urgent=True))
+
+    def test_other_ends_are_tried_again(self) -> None:
+        """Guards against giving up on slow, busy or unreachable workers, or after two crashes."""
+        for name, before in (
+            ("two crashes", [BROKEN, BROKEN]),
+            ("slow", [SLOW] * 5),
+            ("refused connections", [NotSent("refused")] * 5),
+            ("busy", [RunBusy()] * 5),
+            ("all", [BROKEN, SLOW, NotSent(""), RunBusy(), BROKEN, SLOW, RunFailed("x")]),
+        ):
+            with self.subTest(name):
+                outcome = self.serve(lambda at, ends=(*before, DONE): ends[at])
+                self.assertIsInstance(outcome, Done, outcome)
+                self.assertEqual(len(set(self.dispatcher.used)), len(before) + 1)
+
     def test_a_slow_run_is_hedged(self) -> None:
         """Guards against an answer under the name of the worker that was too slow."""
 
@@ -73,6 +113,15 @@
 
         self.assertEqual(self.serve(answer_second, urgent=True), Done("answer", "w1"))
 
+    def test_a_request_that_ran_and_crashed_is_reported_as_run(self) -> None:
+        """Guards against an unknown outcome although a worker reported that it ran."""
+        ends = (RunFailed("x"), BROKEN, BROKEN, BROKEN)
+        outcome = self.serve(lambda number: ends[number])
+        assert isinstance(outcome, Refused), outcome
+        self.assertEqual(
+            (outcome.kind, outcome.effective_ran), (ErrorKind.FAILED, ExecutionStatus.RAN)
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
