Keep the place of a member whose start may have reached a silent worker

The silence of a worker was measured regardless of when a member was placed on it: a member that was placed on a worker silent for 35 s counted as lost in the same exchange that sent its start. If only the replies were lost, the task ran on the worker for its start lease while the view had freed its accelerators. It also made an attempt of every planning pass: place, lose, queue, place again on the same worker.

The new test failed before: a task within its lease was held by no job.

--- a/libs/daemon/src/hornbeamfold/daemon/worker_session.py
+++ b/libs/daemon/src/hornbeamfold/daemon/worker_session.py
@@ -24,6 +24,9 @@
     GANG_LEASE_MS,
     GANG_SYNC_INTERVAL_MS,
     LEASE_MS,
+    MAX_VIEW_AGE_MS,
+    START_BOUND_MS,
+    START_LEASE_MS,
     START_ORDER_VALIDITY_MS,
     START_TIMEOUT_MS,
 )
@@ -48,6 +51,9 @@
 PENDING_REPORT_RETRY_MS = 60_000
 # An exchange that is later than planned by more than this indicates that the process was paused.
 PAUSE_THRESHOLD_MS = 2_000
+# A start may have reached a worker although its reply was lost, also one by an instance that saw
+# the placement later. This long after the placement, such a task has lapsed again.
+UNSEEN_START_MS = MAX_VIEW_AGE_MS + START_BOUND_MS + START_ORDER_VALIDITY_MS + START_LEASE_MS
 
 logger = get_logger("hornbeamfold.daemon.worker_session")
 count_syncs = counter("hornbeamfold_worker_syncs", "Exchanges with workers")
@@ -339,7 +345,7 @@
             return
         reports: list[MemberReport] = []
         for member in self._members():
-            if member.status.state in ENDED_MEMBERS:
+            if member.status.state in ENDED_MEMBERS or member.placed_age_ms < UNSEEN_START_MS:
                 continue
             report = MemberReport(
                 member.job.key[0],
--- a/libs/daemon/tests/test_job_losses.py
+++ b/libs/daemon/tests/test_job_losses.py
@@ -38,7 +38,8 @@
     WorkersPut,
     ZoneSet,
 )
-from hornbeamfold.model.timing import LEASE_MS, LOST_MARGIN_MS
+from hornbeamfold.model.timing import LEASE_MS, LOST_MARGIN_MS, START_LEASE_MS
+from hornbeamfold.model.work import ENDED_MEMBERS, task_id
 from hornbeamfold.settings import Settings
 from hornbeamfold.workers import (
     NoReply,
@@ -286,6 +287,30 @@
         self.submit_job(1)
         self.assert_goes_on(3_600_000, 25)
 
+    def test_a_start_whose_reply_is_lost_holds_its_place(self) -> None:
+        """Guards against freeing accelerators on which a task may just have started unseen."""
+        cut_ms = self.now_ms
+
+        def react(worker: FakeWorker, request: SyncRequest, now_ms: int) -> SyncOutcome:
+            worker.exchange(request, now_ms)
+            return NoReply("timed out")
+
+        self.on_sync = react
+        self.run_until(lambda: self.now_ms > cut_ms + 2 * LEASE_MS, 120_000)
+        self.submit_job(4)
+        for _ in range(240):
+            self.step()
+            job = self.job
+            held = {
+                task_id(job.key, job.attempt, status.member.worker)
+                for status in job.members
+                if status.state not in ENDED_MEMBERS
+            }
+            for worker in self.workers.values():
+                for task, started_ms in worker.started_ms.items():
+                    if self.now_ms < started_ms + START_LEASE_MS:
+                        self.assertIn(task, held)
+
     def test_losses_after_a_long_run_do_not_add_up(self) -> None:
         """Guards against failing a long job because workers restart under it now and then."""
         self.on_sync = self.crash_when_running(None, 2_000, after_ms=700_000)
