Hold the reservations of gangs against idle jobs in a full service

Cause: the reservation gave way at any load; the users' rule asks for a start beside reservations of others only while under half of the service is in use. Change: reservations, workers to avoid, isolation, and workers of last resort give way only while half of the service is idle; racks and headroom as before. The placement of idle jobs is a module of its own. It keeps, for a pass, the needs for which room is scarce.

--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -67,6 +67,10 @@
         # Worker ids by service and by the number of free accelerators.
         self._by_free_accelerators: dict[str, dict[int, dict[str, None]]] = {}
         self._racks: dict[str, dict[str, None]] = {}
+        # The capacity of all workers of a service and what of it is free, last resorts included.
+        self._total: dict[str, Resources] = {}
+        self._unused: dict[str, Resources] = {}
+        self._last_resorts: set[str] = set()
         for worker in workers:
             self._add(worker)
 
@@ -75,9 +79,14 @@
         self._free[worker.worker_id] = worker.free
         if worker.has_runs:
             self._occupied.add(worker.worker_id)
-        self._racks.setdefault(worker.service, {})[worker.rack] = None
+        if not worker.last_resort:
+            self._racks.setdefault(worker.service, {})[worker.rack] = None
         buckets = self._by_free_accelerators.setdefault(worker.service, {})
         buckets.setdefault(worker.free.accelerators, {})[worker.worker_id] = None
+        self._add_total(worker)
+        if worker.last_resort:
+            self._last_resorts.add(worker.service)
+            return
         kind = _WorkerKind(worker.capacity, worker.labels)
         for key in ((worker.service, None), (worker.service, worker.rack)):
             self._members.setdefault(key, []).append(worker.worker_id)
@@ -85,6 +94,27 @@
             self._idle_accelerators[key] = idle
             self._kinds.setdefault(key, Counter())[kind] += 1
 
+    def _add_total(self, worker: CandidateWorker) -> None:
+        service = worker.service
+        self._total[service] = self._total.get(service, NOTHING) + worker.capacity
+        if NOTHING.fits(worker.free):
+            self._unused[service] = self._unused.get(service, NOTHING) + worker.free
+
+    def is_half_idle(self, service: str) -> bool:
+        """Return whether at least half of the accelerators of a service's workers are free.
+
+        For a service without accelerators, that is of the CPU time.
+        """
+        total = self._total.get(service, NOTHING)
+        unused = self._unused.get(service, NOTHING)
+        if total.accelerators:
+            return 2 * unused.accelerators >= total.accelerators
+        return 2 * unused.cpu_millis >= total.cpu_millis
+
+    def has_last_resorts(self, service: str) -> bool:
+        """Return whether a service has workers that take tasks only as a last resort."""
+        return service in self._last_resorts
+
     def racks(self, service: str) -> Iterable[str]:
         """Return the racks that have workers of a service."""
         return self._racks.get(service, {})
@@ -154,7 +184,7 @@
                 total += count * tasks_that_fit(step.step.reserved, kind.capacity, limit)
         for worker_id in step.avoid:
             worker = self._workers.get(worker_id)
-            if worker is None or worker.service != step.job.service:
+            if worker is None or worker.last_resort or worker.service != step.job.service:
                 continue
             if group.rack not in (None, worker.rack) or (label and label not in worker.labels):
                 continue
@@ -167,12 +197,15 @@
         before = self._free[worker_id]
         self._free[worker_id] = before - resources
         self._occupied.add(worker_id)
+        self._unused[worker.service] = self._unused.get(worker.service, NOTHING) - resources
         if not resources.accelerators:
             return
         buckets = self._by_free_accelerators[worker.service]
         del buckets[before.accelerators][worker_id]
         after = before.accelerators - resources.accelerators
         buckets.setdefault(after, {})[worker_id] = None
+        if worker.last_resort:
+            return
         for key in ((worker.service, None), (worker.service, worker.rack)):
             self._idle_accelerators[key] -= resources.accelerators
 
@@ -205,6 +238,8 @@
     """Return whether the worker's service and labels allow the step, regardless of capacity."""
     if worker.service != step.job.service or worker.worker_id in step.avoid:
         return False
+    if worker.last_resort and not step.any_worker:
+        return False
     label = step.step.required_label
     return not label or label in worker.labels
 
@@ -270,10 +305,17 @@
     step: ReadyStep, worker: CandidateWorker, available: Resources, limit: int
 ) -> int:
     """Return how many more tasks of a step fit on a worker, at most `limit`."""
+    if step.step.max_per_worker:
+        limit = min(limit, step.step.max_per_worker - step.placed_on.get(worker.worker_id, 0))
+    return placeable_tasks(step, worker, available, limit)
+
+
+def placeable_tasks(
+    step: ReadyStep, worker: CandidateWorker, available: Resources, limit: int
+) -> int:
+    """Return how many tasks of a step the available resources of a worker hold, at most `limit`."""
     if step.isolated:
         if available != worker.capacity:
             return 0
         limit = limit if step.step.gang else min(limit, 1)
-    if step.step.max_per_worker:
-        limit = min(limit, step.step.max_per_worker - step.placed_on.get(worker.worker_id, 0))
     return tasks_that_fit(step.step.reserved, available, limit)
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -18,7 +18,10 @@
 
 @dataclass(frozen=True)
 class CandidateWorker:
-    """A worker that accepts new tasks, with its total and free resources."""
+    """A worker that accepts new tasks, with its total and free resources.
+
+    A `last_resort` takes only tasks of jobs that would wait for too long otherwise.
+    """
 
     worker_id: str
     service: str
@@ -28,6 +31,7 @@
     capacity: Resources
     free: Resources
     has_runs: bool = False
+    last_resort: bool = False
 
 
 @dataclass(frozen=True)
@@ -40,7 +44,7 @@
     these tasks were ready; None if it has one. `entitled` jobs are within the guarantee of their
     organisation. `placed_on` counts the step's active tasks by worker, and `avoid` lists workers on
     which these tasks should not start again. Each task of an `isolated` step gets a worker without
-    other runs; only members of one gang may share workers.
+    other runs; only members of one gang may share workers. `any_worker` allows last resorts.
     """
 
     job: BatchJob
@@ -55,6 +59,7 @@
     placed_on: Mapping[str, int] = field(default_factory=dict)
     avoid: frozenset[str] = frozenset()
     isolated: bool = False
+    any_worker: bool = False
 
     @property
     def step(self) -> Step:
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -6,6 +6,7 @@
 from math import inf
 
 from hornbeamfold.scheduling.cluster import ClusterCapacity, Reservation, WorkerGroup, pack
+from hornbeamfold.scheduling.idle_jobs import MAX_IDLE_MS, IdleJobPlacement
 from hornbeamfold.scheduling.inputs import (
     Assignment,
     CandidateWorker,
@@ -16,7 +17,7 @@
     Wait,
     weighted_cores,
 )
-from hornbeamfold.scheduling.locality import ALL_RACKS, candidate_groups
+from hornbeamfold.scheduling.locality import candidate_groups
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import reserve
 from hornbeamfold.scheduling.waits import explain_wait
@@ -36,10 +37,6 @@
 LAST_CHANCE_LOST_WORK_FACTOR = 4.0
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
-# Racks, headroom, reservations and workers to avoid no longer hold back a job that has had no run
-# for this long while there is room for it several times over.
-MAX_IDLE_MS = 2_000
-IDLE_JOB_ROOM_FACTOR = 2
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
@@ -93,6 +90,7 @@
         headroom: Mapping[str, int],
     ) -> None:
         self._cluster = ClusterCapacity(workers)
+        self._idle_jobs = IdleJobPlacement(self._cluster)
         self._placed_runs = placed_runs
         self._now_ms = now_ms
         self._headroom = headroom
@@ -124,7 +122,7 @@
         chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
         reason = _placement_reason(step)
         if not chosen and step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
-            step, chosen = _place_idle_job(self._cluster, step, groups)
+            step, chosen = self._idle_jobs.place(step, groups)
             reason = "idle"
         for index, worker_id in zip(step.waiting, chosen, strict=False):
             self._cluster.allocate(worker_id, step.step.reserved)
@@ -247,48 +245,3 @@
         if len(chosen) > len(best) and not step.step.gang:
             best = chosen
     return best
-
-
-def _place_idle_job(
-    cluster: ClusterCapacity, step: ReadyStep, groups: Sequence[WorkerGroup]
-) -> tuple[ReadyStep, list[str]]:
-    """Return workers for a job without a run if there is ample room, whatever the step prefers.
-
-    Workers to avoid, and for an isolated step those with runs, are used if there is no ample room
-    on others. Also returns the step as it is placed.
-    """
-    variants = [step]
-    if step.avoid:
-        variants.append(replace(step, avoid=frozenset()))
-    if step.isolated:
-        variants.append(replace(step, avoid=frozenset(), isolated=False))
-    for variant in variants:
-        chosen = _place_in_ample_room(cluster, variant, groups)
-        if chosen:
-            return variant, chosen
-    return step, []
-
-
-def _place_in_ample_room(
-    cluster: ClusterCapacity, step: ReadyStep, groups: Sequence[WorkerGroup]
-) -> list[str]:
-    """Return workers for what a job needs to make progress, or none if room is scarce.
-
-    One task is enough for a job to make progress; the others wait for room where they run faster.
-    The tasks of a gang need one another, and long-running tasks are each needed.
-    """
-    waiting = len(step.waiting)
-    needed = waiting if step.step.gang else 1
-    members = cluster.members_with_accelerators(step, ALL_RACKS)
-    available = cluster.available_to_idle_job
-    room = pack(cluster, step, IDLE_JOB_ROOM_FACTOR * needed, members, available)
-    if len(room) < IDLE_JOB_ROOM_FACTOR * needed:
-        return []
-    wanted = waiting if step.step.long_running else needed
-    for group in groups:
-        chosen = pack(
-            cluster, step, wanted, cluster.members_with_accelerators(step, group), available
-        )
-        if len(chosen) == wanted:
-            return chosen
-    return pack(cluster, step, wanted, members, available)
--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -1,6 +1,7 @@
 """Tests for a planning pass."""
 
 import unittest
+from collections import Counter
 from dataclasses import replace
 
 from scheduling_cases import CAPACITY, candidate, placed_run, ready, resources
@@ -204,6 +205,44 @@
                 self.assertEqual(plan([step], workers, [], now_ms).assignments, ())
 
 
+class FullServiceTest(unittest.TestCase):
+    def test_a_gang_starts_beside_a_stream_of_small_jobs(self) -> None:
+        """Guards against jobs that wait too long and, one by one, use up the room of a gang."""
+        tick_ms, run_ms = 100, 4_000
+        workers, running, waiting = 6, {}, {}
+        gang = ready("gang", Step(24, resources(1), run_ms, gang=True), priority=1)
+        now_ms, started = 0, 0
+        while "gang" not in running:
+            self.assertLessEqual(now_ms, 30_000, "the gang does not start")
+            if now_ms % 1_000 == 0:
+                for _ in range(14):
+                    started += 1
+                    step = ready(f"{started:04}", Step(1, resources(1), run_ms), priority=2)
+                    waiting[step.job.job_id] = replace(step, ready_ms=now_ms, idle_since_ms=now_ms)
+            if now_ms == 12_000:
+                waiting["gang"] = replace(gang, ready_ms=now_ms, idle_since_ms=now_ms)
+            ended = [job_id for job_id, (_, end_ms) in running.items() if end_ms <= now_ms]
+            for job_id in ended:
+                del running[job_id]
+            used = Counter(worker for worker, _ in running.values())
+            result = plan(
+                [replace(each, due_ms=now_ms + 60_000) for each in waiting.values()],
+                [
+                    candidate(f"w{index}", free=CAPACITY - resources(1).times(used[f"w{index}"]))
+                    for index in range(workers)
+                ],
+                [
+                    placed_run(job_id, 0, worker, resources(1), remaining_ms=end_ms - now_ms)
+                    for job_id, (worker, end_ms) in running.items()
+                ],
+                now_ms,
+            )
+            for each in result.assignments:
+                running[each.job_id] = (each.worker_id, now_ms + run_ms)
+                waiting.pop(each.job_id, None)
+            now_ms += tick_ms
+
+
 class HeadroomTest(unittest.TestCase):
     def test_non_urgent_work_leaves_headroom_for_urgent_work(self) -> None:
         wide = Step(16, resources(1), estimate_ms=1_000)
