Measure ample room without the limit of tasks on one worker

What callers would see: a job whose tasks may share no worker counts an idle worker as room for one, so it needs twice as many workers before it stops waiting for its rack (found by the review). Change: room is measured by resources; the limit holds for the placement. Measured: test_room_on_one_worker_is_ample_for_a_limited_number_of_tasks fails before (0 of 1 placed) and passes.

--- a/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
@@ -8,8 +8,8 @@
     FAR_FUTURE_MS,
     ClusterCapacity,
     WorkerGroup,
-    fitting_tasks,
     pack,
+    placeable_tasks,
 )
 from hornbeamfold.scheduling.inputs import ReadyStep
 from hornbeamfold.scheduling.locality import ALL_RACKS
@@ -114,7 +114,7 @@
         for worker_id in members:
             worker = self._cluster.worker(worker_id)
             free = available(worker_id)
-            room += fitting_tasks(step, worker, free, tasks - room)
+            room += placeable_tasks(step, worker, free, tasks - room)
             if room >= tasks:
                 return True
         return False
--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -178,6 +178,13 @@
                 result = plan(steps, workers, [run], now, headroom)
                 self.assertEqual(len(result.assignments), expected)
 
+    def test_room_on_one_worker_is_ample_for_a_limited_number_of_tasks(self) -> None:
+        """Guards against room that does not count as a step may have one task on each worker."""
+        workers = [candidate("w1", "r1"), candidate("w2", "r2", free=NOTHING)]
+        limited = Step(1, resources(1), estimate_ms=60_000, preferred_rack="r2", max_per_worker=1)
+        step = ready("a", limited, idle_since_ms=0)
+        self.assertEqual(len(plan([step], workers, [], self.BOUND_MS).assignments), 1)
+
     def test_a_gang_starts_in_time_where_one_has_failed(self) -> None:
         """Guards against a gang that never starts since too few workers have its label.
 
