Let idle jobs use workers of suspected tasks, and share these after 5 s

What callers would see: a task that must run alone keeps its worker for as long as it runs, and the neighbours of a crashing task are suspects too. Cause: such workers were no candidates at all, so the bound on idle jobs did not reach them. Measured: test_a_job_starts_beside_suspected_tasks_on_all_workers and ..._shares_its_worker_... fail before and pass. Tests changed: three that demanded no candidate check that no ordinary one is left.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -1,6 +1,7 @@
 """Tracks the jobs that have not ended and the runs that use resources on workers."""
 
 from collections.abc import Iterable, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 
 from hornbeamfold.batch import (
@@ -22,6 +23,9 @@
 
 logger = get_logger("hornbeamfold.coordinator.book")
 NOTHING = Resources()
+# A task that crashes its workers does so soon after its start. Later on, a run that must be alone
+# shares its worker again.
+ISOLATION_RUN_MS = 5_000
 _ends = counter("hornbeamfold_run_ends", "Ends of runs by kind.")
 
 
@@ -104,14 +108,18 @@
         return bool(self._runs_by_worker.get(worker_id))
 
     def isolating_workers(self) -> frozenset[str]:
-        """Return the workers on which tasks run that must run alone."""
+        """Return the workers on which tasks that must run alone have started recently."""
+        since_ms = self._clock() - ISOLATION_RUN_MS
         found: set[str] = set()
         for job_id, tracked in self._jobs.items():
             if not tracked.has_isolated_tasks:
                 continue
+            isolated: dict[tuple[int, int], AbstractSet[int]] = {}
             for run in self.runs_of(job_id):
-                ref = run.name.task
-                if ref.index in tracked.isolated_tasks(ref.occurrence, ref.step):
+                step = run.name.task[:2]
+                if step not in isolated:
+                    isolated[step] = tracked.isolated_tasks(*step)
+                if run.name.task.index in isolated[step] and run.begun_ms > since_ms:
                     found.add(run.worker_id)
         return frozenset(found)
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -26,14 +26,17 @@
 def candidate_workers(
     sessions: Iterable[Session], tracker: JobTracker, health: WorkerHealth, operator: OperatorState
 ) -> list[CandidateWorker]:
-    """Return the workers that may get new tasks now, with their free resources."""
+    """Return the workers that may get new tasks now, with their free resources.
+
+    Those with a task that must run alone are last resorts.
+    """
     found: list[CandidateWorker] = []
     isolating = tracker.isolating_workers()
     for session in sessions:
         worker = session.worker
         if not session.usable or worker.draining or health.is_excluded(worker.worker_id):
             continue
-        if worker.availability_zone in operator.zones_out or worker.worker_id in isolating:
+        if worker.availability_zone in operator.zones_out:
             continue
         found.append(
             CandidateWorker(
@@ -45,6 +48,7 @@
                 worker.capacity,
                 worker.capacity - tracker.reserved_on(worker.worker_id),
                 tracker.has_runs_on(worker.worker_id),
+                worker.worker_id in isolating,
             )
         )
     return found
--- a/libs/coordinator/tests/test_planner_inputs.py
+++ b/libs/coordinator/tests/test_planner_inputs.py
@@ -27,7 +27,7 @@
     TaskRef,
 )
 from hornbeamfold.coordinator.health import WorkerHealth
-from hornbeamfold.coordinator.job_tracker import JobTracker
+from hornbeamfold.coordinator.job_tracker import ISOLATION_RUN_MS, JobTracker
 from hornbeamfold.coordinator.planner_inputs import (
     MAX_ISOLATION_WAIT_MS,
     PlacedRuns,
@@ -41,6 +41,8 @@
 DEMAND = Resources(1_000, 1_000, 1)
 FIRST = TaskRef(0, 0, 0)
 SUSPECT = TaskProgress(run=2, crashes=ISOLATION_CRASHES)
+# Users count a job as lost that has no run for this long beside room for it twice over.
+MAX_IDLE_BESIDE_ROOM_MS = 3_000
 PASS_MS = 500
 
 
@@ -68,6 +70,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.tracker = JobTracker(self.clock)
+        self.health = WorkerHealth(self.clock)
         self.sessions = [self.reachable(worker_id) for worker_id in ("w1", "w2")]
 
     def reachable(self, worker_id: str) -> Session:
@@ -97,17 +100,13 @@
         return [(each.waiting, each.isolated) for each in self.ready()]
 
     def candidates(self) -> dict[str, bool]:
-        """Return the workers that may get tasks, and whether they have runs."""
-        found = candidate_workers(
-            self.sessions, self.tracker, WorkerHealth(self.clock), OperatorState()
-        )
-        return {each.worker_id: each.has_runs for each in found}
+        """Return the workers that take any tasks, and whether they have runs."""
+        found = candidate_workers(self.sessions, self.tracker, self.health, OperatorState())
+        return {each.worker_id: each.has_runs for each in found if not each.last_resort}
 
     def plan_once(self) -> tuple[Assignment, ...]:
         """Carry out one planning pass; return the placements."""
-        workers = candidate_workers(
-            self.sessions, self.tracker, WorkerHealth(self.clock), OperatorState()
-        )
+        workers = candidate_workers(self.sessions, self.tracker, self.health, OperatorState())
         placed_runs = PlacedRuns().current(self.tracker, self.clock())
         found = plan(self.ready(), workers, placed_runs, self.clock())
         for each in found.assignments:
@@ -169,6 +168,30 @@
         self.assertEqual(tracked.task(FIRST).crashes, MAX_CRASHES)
         self.assertEqual(self.tracker.recorded_progress("a")[0], JobState.FAILED)
 
+    def wait_for_run(self, job_id: str) -> int:
+        """Carry out passes until a job has a run; return how long that took in milliseconds."""
+        began_ms = self.clock()
+        while not self.tracker.runs_of(job_id):
+            self.assertLess(self.clock() - began_ms, 60_000, f"{job_id} does not start")
+            self.plan_once()
+            self.clock.move(PASS_MS)
+        return self.clock() - began_ms
+
+    def test_a_job_starts_beside_suspected_tasks_on_all_workers(self) -> None:
+        """Guards against a job that waits for as long as suspected tasks run, beside 14 of 16."""
+        self.add("a", Step(2, DEMAND, estimate_ms=60_000), SUSPECT, SUSPECT)
+        self.plan_once()
+        self.assertEqual(self.candidates(), {})
+        self.add("b", Step(1, DEMAND))
+        self.assertLess(self.wait_for_run("b"), MAX_IDLE_BESIDE_ROOM_MS)
+
+    def test_a_suspected_task_shares_its_worker_once_it_has_run_for_a_while(self) -> None:
+        """Guards against workers that long tasks with two crashes keep to themselves."""
+        self.add("a", Step(2, DEMAND, estimate_ms=60_000), SUSPECT, SUSPECT)
+        self.plan_once()
+        self.clock.move(ISOLATION_RUN_MS)
+        self.assertEqual(self.candidates(), {"w1": True, "w2": True})
+
     def test_a_suspected_task_is_placed_at_once_on_an_idle_worker(self) -> None:
         self.add("a", Step(1, DEMAND), SUSPECT)
         self.add("b", Step(1, DEMAND), TaskProgress(TaskPhase.ACTIVE, 1, "w1", 1))
