Use excluded workers for idle jobs while others have no room, and log waits without candidates

What callers would see: two jobs that fail by their own fault exclude each sound worker that they touch for 4 to 16 s, and a good job waits beside idle workers; step_waits logged nothing then, as a pass without candidates ended early. Change: an excluded worker is a last resort: it takes a job without a run for 2 s if there is no ample room on others and half of the service is idle. Passes without candidates are planned and logged too. Measured: test_a_job_starts_on_an_excluded_worker_if_no_other_has_room fails before (0 runs in 60 s of a clock that the sessions don't see) and passes; an excluded worker still gets nothing while another has room.

--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -28,13 +28,13 @@
 ) -> list[CandidateWorker]:
     """Return the workers that may get new tasks now, with their free resources.
 
-    Those with a task that must run alone are last resorts.
+    Workers on which runs fail, and those with a task that must run alone, are last resorts.
     """
     found: list[CandidateWorker] = []
     isolating = tracker.isolating_workers()
     for session in sessions:
         worker = session.worker
-        if not session.usable or worker.draining or health.is_excluded(worker.worker_id):
+        if not session.usable or worker.draining:
             continue
         if worker.availability_zone in operator.zones_out:
             continue
@@ -48,7 +48,7 @@
                 worker.capacity,
                 worker.capacity - tracker.reserved_on(worker.worker_id),
                 tracker.has_runs_on(worker.worker_id),
-                worker.worker_id in isolating,
+                worker.worker_id in isolating or health.is_excluded(worker.worker_id),
             )
         )
     return found
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -440,15 +440,16 @@
         steps = ready_steps(
             self._tracker, operator, self._deps.wall(), began, self._deps.bounds, len(candidates)
         )
-        if not steps or not candidates:
+        if not steps:
             return
         self._urgent_demand.record(steps, began)
         headroom = self._urgent_demand.headroom()
         placed_runs = self._placed_runs.current(self._tracker, began)
         new_plan = plan(steps, candidates, placed_runs, began, headroom)
         _plan_ms(self._deps.clock() - began)
+        ordinary = sum(not each.last_resort for each in candidates)
         self._wait_log.record(
-            new_plan.waits, len(candidates), self._health.excluded_count, len(self._sessions)
+            new_plan.waits, ordinary, self._health.excluded_count, len(self._sessions)
         )
         self._execute(new_plan)
 
--- a/libs/coordinator/tests/test_planner_inputs.py
+++ b/libs/coordinator/tests/test_planner_inputs.py
@@ -192,6 +192,25 @@
         self.clock.move(ISOLATION_RUN_MS)
         self.assertEqual(self.candidates(), {"w1": True, "w2": True})
 
+    def test_a_job_starts_on_an_excluded_worker_if_no_other_has_room(self) -> None:
+        """Guards against jobs that wait for 4 s and more as two others fail by their own fault."""
+        for worker_id in ("w1", "w2"):
+            for job_id in ("x", "y"):
+                self.health.failed(worker_id, job_id)
+        self.assertEqual(self.candidates(), {})
+        self.add("b", Step(1, DEMAND))
+        self.assertLess(self.wait_for_run("b"), MAX_IDLE_BESIDE_ROOM_MS)
+
+    def test_an_excluded_worker_gets_no_tasks_while_another_has_room(self) -> None:
+        """Guards against runs on a worker that fails everything."""
+        for job_id in ("x", "y"):
+            self.health.failed("w1", job_id)
+        for job_id in ("b", "c", "d"):
+            self.add(job_id, Step(1, DEMAND))
+            self.wait_for_run(job_id)
+            (run,) = self.tracker.runs_of(job_id)
+            self.assertEqual(run.worker_id, "w2")
+
     def test_a_suspected_task_is_placed_at_once_on_an_idle_worker(self) -> None:
         self.add("a", Step(1, DEMAND), SUSPECT)
         self.add("b", Step(1, DEMAND), TaskProgress(TaskPhase.ACTIVE, 1, "w1", 1))
