Fail no job for workers that may only have been cut off

Cause: a worker whose lease has expired and whose entry is gone counted as crashed; a cut removes the entry as well. Change: such a run ends as worker_vanished. Crash rows of the progress record have both numbers.

--- a/libs/batch/src/hornbeamfold/batch/progress.py
+++ b/libs/batch/src/hornbeamfold/batch/progress.py
@@ -33,7 +33,8 @@
     """The phase of a task and its latest run; `run` is 0 before the first one.
 
     `worker_id` and `born_ms` identify the worker of an active run. `crashes` counts the crashes of
-    workers under runs of the task.
+    workers under runs of the task, and `vanished` those of them without evidence: the worker may
+    only have been cut off.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -43,6 +44,7 @@
     failures: int = 0
     checkpoint: str = ""
     crashes: int = 0
+    vanished: int = 0
 
 
 NOT_STARTED = TaskProgress()
--- a/libs/batch/src/hornbeamfold/batch/workers.py
+++ b/libs/batch/src/hornbeamfold/batch/workers.py
@@ -34,6 +34,7 @@
     PEERS_MISSING = "peers_missing"  # other members of the gang did not start in time
     LOST = "lost"  # the worker is lost or never had the run
     WORKER_CRASHED = "worker_crashed"  # the worker crashed and may have had the run
+    WORKER_VANISHED = "worker_vanished"  # the same, but the worker may only have been cut off
 
 
 @dataclass(frozen=True, order=True)
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -281,8 +281,8 @@
         if run is None:
             return ()
         tracked = self._jobs.get(name.job_id)
-        if end is RunEnd.WORKER_CRASHED:
-            self._attribute_crash(run, tracked)
+        if end in (RunEnd.WORKER_CRASHED, RunEnd.WORKER_VANISHED):
+            self._attribute_crash(run, tracked, end)
         _ends(1, end=end.value)
         logger.info(
             "run_ended",
@@ -306,7 +306,7 @@
             tracked.record_run_end(name.task, self._clock())
         if end is RunEnd.DONE and run.from_percent == 0:
             tracked.add_duration(name.task, self._clock() - run.begun_ms)
-        if end in (RunEnd.FAILED, RunEnd.WORKER_CRASHED):
+        if end in (RunEnd.FAILED, RunEnd.WORKER_CRASHED, RunEnd.WORKER_VANISHED):
             tracked.avoid_worker(name.task, run.worker_id)
         self._changed.add(name.job_id)
         if end is RunEnd.DONE:
@@ -317,7 +317,7 @@
             return ()
         return self._remaining_gang_members(tracked, name)
 
-    def _attribute_crash(self, run: Run, tracked: TrackedJob | None) -> None:
+    def _attribute_crash(self, run: Run, tracked: TrackedJob | None, end: RunEnd) -> None:
         """Count a crash of its worker for the task of a removed run.
 
         Any run on the worker may have caused it, so all are counted. Members of a gang are no
@@ -332,7 +332,8 @@
                 continue
             alone = False
             self._runs[other.name] = replace(other, company_crashed=True)
-        if tracked is None or not tracked.add_crash(run.name, alone, run.listed_for_ms):
+        evident = end is RunEnd.WORKER_CRASHED
+        if tracked is None or not tracked.add_crash(run.name, alone, evident, run.listed_for_ms):
             return
         crashes = tracked.task(run.name.task).crashes
         extra = {
@@ -341,6 +342,7 @@
             "run": run.name.run,
             "worker": run.worker_id,
             "alone": alone,
+            "evident": evident,
             "crashes": crashes,
         }
         logger.warning("worker_crashed_under_run", extra=extra)
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -16,6 +16,7 @@
     NoAnswer,
     Refusal,
     Refused,
+    RunEnd,
     Worker,
     WorkerPort,
 )
@@ -183,20 +184,25 @@
         """End the session."""
         self._closed = True
 
-    def has_crashed(self, born_ms: int, lost: RunsLost | None = None) -> bool:
-        """Return whether the incarnation born at `born_ms` is known to have crashed.
+    def lost_run_end(self, born_ms: int, lost: RunsLost | None = None) -> RunEnd:
+        """Return how a run without a reported end ended on the incarnation born at `born_ms`.
 
-        `lost` is why the runs on the worker are over, or None after a report. A worker that is only
-        cut off may outlive its lease, so the expiry alone is no evidence of a crash.
+        `lost` is why the runs on the worker are over, or None after a report. A worker that is cut
+        off may outlive its lease, and may lose its entry in the registry as well.
         """
         if born_ms in self._drained:
-            return False
+            return RunEnd.LOST
         if born_ms != self._worker.born_ms:
             # The entry in the registry may be older than an incarnation that has not reported.
-            return self._reported_ms is not None or born_ms < self._worker.born_ms
-        if lost is RunsLost.LEASE_EXPIRED:
-            return not self._registered or self._refusals > 0
-        return lost is RunsLost.ANOTHER_ANSWERS
+            replaced = self._reported_ms is not None or born_ms < self._worker.born_ms
+            return RunEnd.WORKER_CRASHED if replaced else RunEnd.LOST
+        if lost is RunsLost.ANOTHER_ANSWERS:
+            return RunEnd.WORKER_CRASHED
+        if lost is not RunsLost.LEASE_EXPIRED:
+            return RunEnd.LOST
+        if self._refusals > 0:
+            return RunEnd.WORKER_CRASHED
+        return RunEnd.LOST if self._registered else RunEnd.WORKER_VANISHED
 
     def _note_drain(self, worker: Worker) -> None:
         if worker.draining:
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -323,8 +323,8 @@
         for run in tuple(self._tracker.runs.values()):
             if run.worker_id in self._sessions:
                 continue
-            crashed = run.incarnation is not None and self._registry_is_current()
-            self._end_run(run.name, RunEnd.WORKER_CRASHED if crashed else RunEnd.LOST)
+            gone = run.incarnation is not None and self._registry_is_current()
+            self._end_run(run.name, RunEnd.WORKER_VANISHED if gone else RunEnd.LOST)
 
     def _on_report(self, session: Session, report: LeaseReport, sent_ms: int) -> None:
         """Reconcile the runs that a worker reports with the job tracker."""
@@ -409,8 +409,10 @@
 
     def _end_lost_run(self, session: Session, run: Run, lost: RunsLost | None = None) -> None:
         """End a run that its worker no longer has and whose end was not reported."""
-        crashed = run.incarnation is not None and session.has_crashed(run.incarnation, lost)
-        self._end_run(run.name, RunEnd.WORKER_CRASHED if crashed else RunEnd.LOST)
+        end = RunEnd.LOST
+        if run.incarnation is not None:
+            end = session.lost_run_end(run.incarnation, lost)
+        self._end_run(run.name, end)
 
     def _end_run(self, name: RunName, end: RunEnd, checkpoint: str = "") -> None:
         self._stop_all(self._tracker.end_run(name, end, checkpoint), "job ended or gang broken")
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -20,9 +20,12 @@
 # After this many crashes of its workers a task runs alone on a worker.
 ISOLATION_CRASHES = 2
 # A task that crashes its workers fails its job after this many crashes if its run was alone on the
-# worker in the last, and otherwise after the second number of crashes.
+# worker in the last, and otherwise after the second number of crashes. Workers that may only have
+# been cut off are no evidence by themselves, but a task is not started again for ever either.
 MAX_CRASHES_ALONE = 3
 MAX_CRASHES = 4
+MIN_CRASHES_WITH_EVIDENCE = 2
+MAX_CRASHES_WITHOUT_EVIDENCE = 5
 # A long-running task sees many workers crash. A run that has lasted for this long clears its task.
 CLEARING_RUN_MS = 60_000
 
@@ -191,20 +194,24 @@
         task = self.task(name.task)
         return task.phase is TaskPhase.ACTIVE and task.run == name.run
 
-    def add_crash(self, name: RunName, alone: bool, ran_ms: int) -> bool:
+    def add_crash(self, name: RunName, alone: bool, evident: bool, ran_ms: int) -> bool:
         """Count a crash of the worker of a run, and fail the job after too many of them.
 
-        `alone` says that the run, or its gang, was the only one on the worker. Returns False if the
-        run is not the task's current run.
+        `alone` says that the run, or its gang, was the only one on the worker, and `evident` that
+        the worker was not only cut off. Returns False if the run is not the task's current run.
         """
         if not self.is_current(name):
             return False
         if self._job.steps[name.task.step].long_running and ran_ms >= CLEARING_RUN_MS:
             self._set_crashes(name.task, 0)
             return True
-        crashes = self.task(name.task).crashes + 1
-        self._set_crashes(name.task, crashes)
-        if crashes >= (MAX_CRASHES_ALONE if alone else MAX_CRASHES) and not self.ended:
+        task = self.task(name.task)
+        crashes, vanished = task.crashes + 1, task.vanished + (not evident)
+        self._set_crashes(name.task, crashes, vanished)
+        limit = MAX_CRASHES_WITHOUT_EVIDENCE
+        if evident and crashes - vanished >= MIN_CRASHES_WITH_EVIDENCE:
+            limit = MAX_CRASHES_ALONE if alone else MAX_CRASHES
+        if crashes >= limit and not self.ended:
             self._state = JobState.FAILED
         return True
 
@@ -218,8 +225,8 @@
         self._set_crashes(name.task, 0)
         return True
 
-    def _set_crashes(self, ref: TaskRef, crashes: int) -> None:
-        self._tasks[ref] = replace(self.task(ref), crashes=crashes)
+    def _set_crashes(self, ref: TaskRef, crashes: int, vanished: int = 0) -> None:
+        self._tasks[ref] = replace(self.task(ref), crashes=crashes, vanished=vanished)
         key = (ref.occurrence, ref.step)
         if crashes >= ISOLATION_CRASHES:
             self._isolated.setdefault(key, set()).add(ref.index)
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -46,8 +46,8 @@
     Rows of `done`: occurrence, step and the indexes of all its completed tasks. Rows of `active`:
     occurrence, step, index, run, worker id, `born_ms` of the worker's incarnation, failures and
     checkpoint. Rows of `waiting`: the same without the worker id and `born_ms`. Rows of `crashes`:
-    occurrence, step, index and the number of crashes of the active and waiting tasks that have any.
-    Decoders that do not know `crashes` ignore it.
+    occurrence, step, index, crashes and those without evidence, of active and waiting tasks that
+    have any. Decoders that do not know `crashes` ignore it.
     """
 
     state: JobState
@@ -56,7 +56,7 @@
         default_factory=list
     )
     waiting: list[tuple[Count, Count, Count, Count, Count, str]] = field(default_factory=list)
-    crashes: list[tuple[Count, Count, Count, Count]] = field(default_factory=list)
+    crashes: list[tuple[Count, Count, Count, Count, Count]] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -128,7 +128,7 @@
             done.setdefault((ref.occurrence, ref.step), []).append(ref.index)
             continue
         if task.crashes:
-            crashes.append((*ref, task.crashes))
+            crashes.append((*ref, task.crashes, task.vanished))
         if task.phase is TaskPhase.ACTIVE:
             active.append(
                 (*ref, task.run, task.worker_id, task.born_ms, task.failures, task.checkpoint)
@@ -159,10 +159,10 @@
         tasks[TaskRef(occurrence, step, index)] = TaskProgress(
             TaskPhase.WAITING, run, "", 0, failures, checkpoint
         )
-    for occurrence, step, index, crashes in document.crashes:
+    for occurrence, step, index, crashes, vanished in document.crashes:
         ref = TaskRef(occurrence, step, index)
         if ref in tasks:
-            tasks[ref] = replace(tasks[ref], crashes=crashes)
+            tasks[ref] = replace(tasks[ref], crashes=crashes, vanished=vanished)
     return JobProgress(document.state, tasks)
 
 
