Count the wait of each long-running task by itself

Cause: the end of any run of the step began the wait anew. Change: ends are kept by task; a step has waited as long as its task that waits the longest. Measured: test_a_long_running_task_waits_however_often_another_ends: 0 ms after 15 s before, 15,000 ms now.

--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -40,7 +40,8 @@
         self._done_counts: dict[tuple[int, int], int] = {}
         self._waiting: dict[tuple[int, int], set[int]] = {}
         self._ready_ms: dict[tuple[int, int], int] = {}
-        self._last_run_end_ms: dict[tuple[int, int], int] = {}
+        self._run_end_ms: dict[TaskRef, int] = {}
+        self._last_run_end_ms = 0
         self._avoided_workers: dict[tuple[int, int], dict[str, None]] = {}
         self._durations_ms: dict[tuple[int, int], list[int]] = {}
         # The tasks that must run alone, and since when each of them has waited for that.
@@ -121,17 +122,21 @@
         return self._ready_ms.setdefault((occurrence, step), now_ms)
 
     def record_run_end(self, ref: TaskRef, now_ms: int) -> None:
-        """Record when a run of this step ended."""
-        self._last_run_end_ms[ref.occurrence, ref.step] = now_ms
+        """Record when a run of this task ended."""
+        self._run_end_ms[ref] = now_ms
+        self._last_run_end_ms = now_ms
 
     def idle_since(self, occurrence: int, step: int, ready_ms: int) -> int:
-        """Return since when a step that became ready at `ready_ms` has had no run.
+        """Return since when a step that became ready at `ready_ms` has waited without a run.
 
-        For tasks that end, a run of any step of the job counts.
+        For tasks that end, a run of any step of the job counts; of long-running tasks, each counts.
         """
-        if self._job.steps[step].long_running:
-            return max(ready_ms, self._last_run_end_ms.get((occurrence, step), ready_ms))
-        return max((ready_ms, *self._last_run_end_ms.values()))
+        if not self._job.steps[step].long_running:
+            return max(ready_ms, self._last_run_end_ms)
+        return min(
+            max(ready_ms, self._run_end_ms.get(TaskRef(occurrence, step, index), 0))
+            for index in self._waiting[occurrence, step]
+        )
 
     @property
     def has_isolated_tasks(self) -> bool:
--- a/libs/coordinator/tests/test_idle_jobs.py
+++ b/libs/coordinator/tests/test_idle_jobs.py
@@ -50,6 +50,18 @@
                 self.clock.move(400)
                 self.assertEqual(self.idle_ms(tracker), [expected])
 
+    def test_a_long_running_task_waits_however_often_another_ends(self) -> None:
+        """Guards against a task that never counts as waiting as its sibling fails every second."""
+        step = Step(2, DEMAND, 1_000, long_running=True)
+        tracker = tracker_with(self.clock, job("a", step, max_attempts=100))
+        self.idle_ms(tracker)
+        for _ in range(10):
+            name = self.begin(tracker, 0)
+            tracker.settle(name)
+            self.clock.move(1_500)
+            tracker.end_run(name, RunEnd.FAILED)
+        self.assertEqual(self.idle_ms(tracker), [15_000])
+
     def test_each_long_running_task_is_needed(self) -> None:
         tracker = tracker_with(self.clock, job("a", Step(2, DEMAND, 1_000, long_running=True)))
         self.idle_ms(tracker)
