Begin the wait of a job anew only after a run that its worker had

What callers would see: a job whose start orders are lost waits 2 s more after each of them before it counts as idle, as a stop order that is answered counted as the end of a run (found by the review, by reading). Change: only runs that a worker listed, or whose end it reported, begin the time anew. Measured: the case 'sent, lost, and stopped' of test_only_the_end_of_a_run_that_a_worker_had_begins_the_time_anew; the former case of a settled run that is lost demanded the opposite, and is replaced by one that was listed.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -23,6 +23,8 @@
 
 logger = get_logger("hornbeamfold.coordinator.book")
 NOTHING = Resources()
+# Ends that no worker reports.
+UNREPORTED_ENDS = frozenset({RunEnd.LOST, RunEnd.WORKER_CRASHED, RunEnd.WORKER_VANISHED})
 # A task that crashes its workers does so soon after its start. Later on, a run that must be alone
 # shares its worker again.
 ISOLATION_RUN_MS = 5_000
@@ -301,8 +303,8 @@
             return ()
         if not tracked.finish(name, end, checkpoint or run.checkpoint):
             return ()
-        # A run that was not started leaves the job idle.
-        if run.settled_ms is not None:
+        # A run that its worker never listed leaves the job idle.
+        if run.listed_ms is not None or end not in UNREPORTED_ENDS:
             tracked.record_run_end(name.task, self._clock())
         if end is RunEnd.DONE and run.from_percent == 0:
             tracked.add_duration(name.task, self._clock() - run.begun_ms)
