Treat an order that raises an exception as unanswered

What callers would see: a task counts as running for as long as its worker lives, and is never started (LOST). Found by the review; no input is known that raises there. Cause: the order's green thread ended, and its run was never settled. Change: the order counts as one without an answer, so its run is stopped and settled. Measured: test_an_order_that_raises_is_stopped_like_an_unanswered_one; before, the exception left the run unsettled (RuntimeError in the test).

--- a/libs/coordinator/src/hornbeamfold/coordinator/orders.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/orders.py
@@ -21,7 +21,13 @@
     WorkerPort,
 )
 from hornbeamfold.coordinator.job_tracker import Run
-from hornbeamfold.telemetry import counter, get_logger, histogram, log_exceptions
+from hornbeamfold.telemetry import (
+    counter,
+    get_logger,
+    histogram,
+    log_exceptions,
+    report_unexpected,
+)
 
 logger = get_logger("hornbeamfold.coordinator.orders")
 _starts = counter("hornbeamfold_start_orders", "Start orders by outcome.")
@@ -166,7 +172,7 @@
     def _send_start_once(self, run: Run, order: StartOrder) -> OrderOutcome:
         worker = self._link.worker()
         self._hooks.on_sent(run.name, worker.born_ms)
-        return self._port.start(worker, order)
+        return _outcome_of(lambda: self._port.start(worker, order), run.name, worker)
 
     def stop(self, run: Run) -> None:
         """Send a stop order in the background until it is answered."""
@@ -177,7 +183,7 @@
         while (
             self._hooks.is_active() and self._link.is_open() and self._hooks.is_active_run(run.name)
         ):
-            outcome = self._port.stop(self._link.worker(), StopOrder(run.name, self._token))
+            outcome = self._send_stop_once(run.name)
             attempts += 1
             match outcome:
                 case Accepted():
@@ -206,7 +212,24 @@
         """Stop a run that the worker lists and the job tracker does not have."""
         self._spawn(lambda: self._stop_once(name))
 
+    def _send_stop_once(self, name: RunName) -> OrderOutcome:
+        worker = self._link.worker()
+        order = StopOrder(name, self._token)
+        return _outcome_of(lambda: self._port.stop(worker, order), name, worker)
+
     def _stop_once(self, name: RunName) -> None:
-        outcome = self._port.stop(self._link.worker(), StopOrder(name, self._token))
+        outcome = self._send_stop_once(name)
         if outcome == Refused(Refusal.FENCED):
             self._hooks.on_fenced(f"worker {self._link.worker().worker_id}")
+
+
+def _outcome_of(send: Callable[[], OrderOutcome], name: RunName, worker: Worker) -> OrderOutcome:
+    """Return the outcome of an order; one that raises an exception may have been carried out.
+
+    A run whose order was never settled would count as running for as long as its worker lives.
+    """
+    try:
+        return send()
+    except Exception as error:
+        report_unexpected("order", request=name.job_id, worker=worker.worker_id)
+        return NoAnswer(repr(error))
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -410,6 +410,16 @@
         # The report that is requested at once shows whether the worker has the run.
         self.assertEqual(self.calls.events[-1][0], "report")
 
+    def test_an_order_that_raises_is_stopped_like_an_unanswered_one(self) -> None:
+        """Guards against a run that counts as running for as long as its worker lives."""
+
+        def fail(_: StartOrder) -> Accepted:
+            raise RuntimeError("odd")
+
+        self.start(fail)
+        self.assertEqual(len(self.stops), 1)
+        self.assertEqual(self.calls.named("settled"), [self.run_.name])
+
     def test_an_unanswered_order_is_sent_again(self) -> None:
         """Guards against restarting a whole gang because one start order got no answer."""
         answers = [NoAnswer("timeout"), Accepted(0)]
