End only runs of the incarnation that an order or renewal was sent to

What callers would see: a second run of a task (TWICE): a refusal of an order that was sent to a worker's former life came late and ended the runs that its present life had got meanwhile, which were started again elsewhere. Change: 'another incarnation answers' ends the runs of incarnations up to the one that the order or renewal was sent to.

--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -79,7 +79,8 @@
     busy_wait_ms: Callable[[], int]  # how long a renewal waits at a worker that has runs
     on_report: Callable[["Session", LeaseReport, int], None]
     on_ended: Callable[["Session", tuple[EndedTask, ...]], None]
-    on_runs_lost: Callable[["Session", RunsLost], None]
+    # All runs on incarnations born until then, a Unix time, are over.
+    on_runs_lost: Callable[["Session", RunsLost, int], None]
     after_store: Callable[[Callable[[], None]], None]
 
 
@@ -229,6 +230,7 @@
         """Renew the lease until the session is closed or the coordinator is replaced."""
         while self._hooks.orders.is_active() and not self._closed:
             sent_ms = self._clock()
+            born_ms = self._worker.born_ms
             # The first renewal does not wait, as nothing may start before the worker's runs are
             # known.
             first = self._reported_ms is None
@@ -251,7 +253,7 @@
                     self._hooks.orders.on_fenced(f"worker {self._worker.worker_id}")
                     return
                 case Refused(Refusal.GONE):
-                    self._hooks.on_runs_lost(self, RunsLost.ANOTHER_ANSWERS)
+                    self._hooks.on_runs_lost(self, RunsLost.ANOTHER_ANSWERS, born_ms)
                     self._note_disconnected("gone")
                     eventlet.sleep(RETRY_MS / 1_000)
                 case Refused(reason, _):
@@ -261,9 +263,9 @@
                     self._note_disconnected(reason)
                     self._refusals = self._refusals + 1 if connection_refused else 0
                     if self._clock() > self._lease_until_ms:
-                        self._hooks.on_runs_lost(self, RunsLost.LEASE_EXPIRED)
+                        self._hooks.on_runs_lost(self, RunsLost.LEASE_EXPIRED, self._worker.born_ms)
                     elif self._worker.draining and self._refusals >= REFUSALS_OF_A_LEFT_WORKER:
-                        self._hooks.on_runs_lost(self, RunsLost.LEFT)
+                        self._hooks.on_runs_lost(self, RunsLost.LEFT, self._worker.born_ms)
                     eventlet.sleep(RETRY_MS / 1_000)
 
     def _note_disconnected(self, reason: str) -> None:
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -389,18 +389,29 @@
             self._health.exclude(run.worker_id, reason.value)
         if reason is Refusal.NO_ROOM:
             self._health.refused_room(run.worker_id)
+        sent = self._tracker.runs.get(run.name)
         self._end_run(run.name, RunEnd.LOST)
-        if reason is Refusal.GONE and (session := self._sessions.get(run.worker_id)):
-            self._on_runs_lost(session, RunsLost.ANOTHER_ANSWERS)
-
-    def _on_runs_lost(self, session: Session, reason: RunsLost) -> None:
-        runs = self._tracker.runs_on(session.worker.worker_id)
+        session = self._sessions.get(run.worker_id)
+        if reason is not Refusal.GONE or session is None or sent is None:
+            return
+        # The answer may be late: the worker may have begun again and have runs since.
+        if sent.incarnation is not None:
+            self._on_runs_lost(session, RunsLost.ANOTHER_ANSWERS, sent.incarnation)
+
+    def _on_runs_lost(self, session: Session, reason: RunsLost, born_ms: int) -> None:
+        """End the runs on incarnations of a worker that were born at `born_ms` or before."""
+        runs = [
+            run
+            for run in self._tracker.runs_on(session.worker.worker_id)
+            if run.incarnation is None or run.incarnation <= born_ms
+        ]
         if runs:
             logger.warning(
                 "runs_lost",
                 extra={
                     "worker": session.worker.worker_id,
                     "reason": reason.value,
+                    "born": born_ms,
                     "requests": sorted({run.name.job_id for run in runs}),
                 },
             )
