--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -140,6 +140,11 @@
         """Whether the worker is in the platform's registry."""
         return self._registered
 
+    @property
+    def has_unknown_runs(self) -> bool:
+        """Whether the worker listed runs that the job tracker does not have."""
+        return self._unknown_runs > 0
+
     @property
     def usable(self) -> bool:
         """Whether the worker is registered and reachable and has no unknown runs.
--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -83,8 +83,11 @@
             return False
         if worker.availability_zone in self._deps.operator().zones_out:
             return False
-        # The entry of another incarnation does not tell this one's capacity.
+        # The entry of another incarnation does not tell this one's capacity, and what unknown runs
+        # reserve is not known either.
+        session = self._deps.sessions.get(worker.worker_id)
         known = registered.born_ms == worker.born_ms
+        known = known and not (session is not None and session.has_unknown_runs)
         return self._fits(run, registered.capacity if known else None)
 
     def _fits(self, run: Run, capacity: Resources | None) -> bool:
--- a/libs/coordinator/tests/test_starts.py
+++ b/libs/coordinator/tests/test_starts.py
@@ -3,22 +3,44 @@
 import unittest
 from collections.abc import Mapping
 from dataclasses import replace
-
-from coordinator_cases import CAPACITY, ManualClock, job, tracker_with, worker
-
-from hornbeamfold.batch import OperatorState, Resources, RunEnd, Step, TaskRef, Worker
+from types import MappingProxyType
+
+from coordinator_cases import (
+    CAPACITY,
+    ManualClock,
+    RecordedCalls,
+    job,
+    session,
+    tracker_with,
+    worker,
+)
+
+from hornbeamfold.batch import (
+    NoAnswer,
+    OperatorState,
+    Resources,
+    RunEnd,
+    Step,
+    TaskRef,
+    Worker,
+)
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
+from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
 
 HALF = Resources(32_000, 128_000, 4)
 
 
-def starter(tracker: JobTracker, registry: Mapping[str, Worker]) -> RunStarter:
+def starter(
+    tracker: JobTracker,
+    registry: Mapping[str, Worker],
+    sessions: Mapping[str, Session] = MappingProxyType({}),
+) -> RunStarter:
     """Return a starter that sends nothing."""
     return RunStarter(
         StartDependencies(
             tracker,
-            {},
+            sessions,
             OperatorState,
             lambda: registry,
             lambda callback: None,
@@ -71,6 +93,16 @@
         self.tracker.request_stop(first.name, "preempted")
         self.assertFalse(self.may_start(second, HALF))
 
+    def test_a_run_may_not_start_beside_runs_that_are_not_known(self) -> None:
+        """Guards against a start over the capacity of a worker with runs that are being stopped."""
+        (run,) = self.begin(0)
+        beside = session(RecordedCalls(), ManualClock(), lambda _: NoAnswer("unused"))
+        for unknown, expected in ((1, False), (0, True)):
+            beside.set_unknown_runs(unknown)
+            with self.subTest(unknown=unknown):
+                checked = starter(self.tracker, {"w1": worker()}, {"w1": beside})
+                self.assertEqual(checked.may_start(run, worker()), expected)
+
     def test_a_run_may_not_start_on_an_incarnation_without_an_entry(self) -> None:
         """Guards against starts over the capacity of a worker that came back as a smaller one."""
         (run,) = self.begin(0)
