Give isolated tasks a reservation of their own

Change: one isolated step may have a reservation, beside the two of other steps. Measured: test_reservations_of_isolated_tasks_leave_those_of_gangs fails before (three workers for other work instead of one) and passes; scheduling 49 passed.

--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -99,6 +99,7 @@
         self._blocked = 0
         self._waits: list[Wait] = []
         self._reserved_steps = 0
+        self._reserved_isolated = False
 
     @cached_property
     def _preemptible_runs(self) -> PreemptibleRuns:
@@ -147,11 +148,20 @@
             max_lost_work = inf if step.entitled else _max_lost_work(unplaced, self._now_ms)
             if self._reclaim(unplaced, groups, max_lost_work):
                 return
-        may_reserve = step.isolated or not step.entitled
-        if may_reserve and self._reserved_steps < MAX_RESERVATIONS and not chosen:
-            self._reserved_steps += reserve(
+        if not chosen and self._may_reserve(step):
+            reserved = reserve(
                 self._cluster, step, groups, self._runs_by_end_time, self._now_ms, inf, firm=False
             )
+            if step.isolated:
+                self._reserved_isolated = self._reserved_isolated or reserved
+            else:
+                self._reserved_steps += reserved
+
+    def _may_reserve(self, step: ReadyStep) -> bool:
+        """Return whether a blocked step may have a reservation; of isolated steps, one may."""
+        if step.isolated:
+            return not self._reserved_isolated
+        return not step.entitled and self._reserved_steps < MAX_RESERVATIONS
 
     def _wait_for_ends(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
         """Reserve what runs will soon free by themselves, instead of preempting; return success."""
--- a/libs/scheduling/tests/test_isolation.py
+++ b/libs/scheduling/tests/test_isolation.py
@@ -86,6 +86,20 @@
                 # Only what ends before the reservation begins may use the worker.
                 self.assertEqual(placed(result), {"b": ["w2"] * 7, "d": ["w1"]})
 
+    def test_reservations_of_isolated_tasks_leave_those_of_gangs(self) -> None:
+        """Guards against gangs that starve as two suspected tasks hold both reservations."""
+        names = ["w1", "w2", "w3", "w4"]
+        runs = [
+            placed_run("c", index, worker, ONE, remaining_ms=1_000 * (index + 3))
+            for index, worker in enumerate(names)
+        ]
+        suspects = [ready(name, Step(1, ONE), 0, isolated=True) for name in "ab"]
+        gangs = [ready(name, Step(1, CAPACITY, gang=True), 0) for name in ("g1", "g2")]
+        lasting = ready("z", Step(28, ONE, estimate_ms=20_000))
+        result = plan([*suspects, *gangs, lasting], [busy(name) for name in names], runs, NOW)
+        # One worker is reserved for a suspected task, and one for each gang.
+        self.assertEqual(placed(result), {"z": ["w4"] * 7})
+
     def test_an_idle_job_does_not_wait_for_an_idle_worker_beside_ample_room(self) -> None:
         """Guards against a job that has no run for 3 s since every worker has a small run."""
         workers = [candidate(f"w{index}", has_runs=True) for index in range(3)]
