Tell long-running tasks apart where the room for idle jobs is remembered

What callers would see: a long-running task waits behind a job of the same size that may not use reserved room. Change: whether reservations count is part of what is remembered within a pass. Measured: test_a_long_running_task_starts_behind_a_blocked_job_of_the_same_size fails before and passes after.

--- a/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
@@ -31,7 +31,7 @@
     demand: Resources
     isolated: bool
     any_worker: bool
-    reserved_counts: bool
+    ignores_reservations: bool
 
 
 class IdleJobPlacement:
@@ -75,15 +75,17 @@
         """
         waiting = len(step.waiting)
         needed = waiting if step.step.gang else 1
-        half_idle = self._cluster.is_half_idle(step.job.service)
-        available = self._available(half_idle or step.step.long_running)
+        ignores_reservations = step.step.long_running or self._cluster.is_half_idle(
+            step.job.service
+        )
+        available = self._available(ignores_reservations)
         need = _Need(
             step.job.service,
             step.step.required_label,
             step.step.reserved,
             step.isolated,
             step.any_worker,
-            not half_idle,
+            ignores_reservations,
         )
         if needed >= self._scarce.get(need, needed + 1):
             return []
--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -197,6 +197,17 @@
         result = plan([step], [*workers, *others], [], self.BOUND_MS)
         self.assertEqual(len(result.assignments), 2)
 
+    def test_a_long_running_task_starts_behind_a_blocked_job_of_the_same_size(self) -> None:
+        """Guards against room that counts as scarce for a task since another job may not use it."""
+        workers = [candidate("w1", free=NOTHING), candidate("w2", free=NOTHING), candidate("w3")]
+        ending = [placed_run("old", each, f"w{each}", CAPACITY) for each in (1, 2)]
+        gang = ready("gang", Step(3, resources(8), gang=True), due_ms=5_000)
+        step = Step(1, resources(1), estimate_ms=60_000)
+        batch = ready("a", step, due_ms=80_000, idle_since_ms=0)
+        lasting = ready("b", replace(step, long_running=True), due_ms=90_000, idle_since_ms=0)
+        result = plan([gang, batch, lasting], workers, ending, self.BOUND_MS)
+        self.assertEqual(placed(result), {"b": ["w3"]})
+
     def test_preferences_hold_without_room_twice_over_or_beside_a_run(self) -> None:
         tight = [candidate("w1", "r1", free=NOTHING), candidate("w2", "r2", free=resources(1))]
         roomy = [candidate("w1", "r1", free=NOTHING), candidate("w2", "r2")]
