Split the placement of a step, and rename what tells a private language

Cause: the read-through and the review: place() decided four things and replaced its own argument. Change: assigning, making room and reserving are functions of their own; shared_crash, isolated_indexes.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -44,7 +44,7 @@
     coordinator's clock.
 
     `incarnation` is the birth (Unix time) of the worker's incarnation that last listed the run or
-    was sent its start order, or None if the order was not sent. `company_crashed` is set when that
+    was sent its start order, or None if the order was not sent. `shared_crash` is set when that
     incarnation crashed and another run on it has ended because of that.
     """
 
@@ -61,7 +61,7 @@
     gang_done_ms: int | None = None
     listed_ms: int | None = None
     incarnation: int | None = None
-    company_crashed: bool = False
+    shared_crash: bool = False
 
     @property
     def listed_for_ms(self) -> int:
@@ -322,18 +322,18 @@
     def _attribute_crash(self, run: Run, tracked: TrackedJob | None, end: RunEnd) -> None:
         """Count a crash of its worker for the task of a removed run.
 
-        Any run on the worker may have caused it, so all are counted. Members of a gang are no
-        company for each other.
+        Any run on the worker may have caused it, so all are counted. A gang whose members were the
+        only runs on the worker was alone.
         """
         gang_key = (run.name.job_id, run.name.task[:2]) if self.is_gang_member(run.name) else None
-        alone = not run.company_crashed
+        alone = not run.shared_crash
         for other in self.runs_on(run.worker_id):
             if other.incarnation != run.incarnation:
                 continue
             if (other.name.job_id, other.name.task[:2]) == gang_key:
                 continue
             alone = False
-            self._runs[other.name] = replace(other, company_crashed=True)
+            self._runs[other.name] = replace(other, shared_crash=True)
         evident = end is RunEnd.WORKER_CRASHED
         if tracked is None or not tracked.add_crash(run.name, alone, evident, run.listed_for_ms):
             return
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -110,14 +110,14 @@
 
 def _split_isolated(ready: ReadyStep, tracked: TrackedJob, now_ms: int) -> Iterable[ReadyStep]:
     """Yield the ordinary waiting tasks of a step, and those that must run alone on a worker."""
-    suspects = tracked.isolated_tasks(ready.occurrence, ready.step_index)
-    if not suspects:
+    isolated_indexes = tracked.isolated_tasks(ready.occurrence, ready.step_index)
+    if not isolated_indexes:
         yield ready
         return
     ordinary: list[int] = []
     isolated: list[int] = []
     for index in ready.waiting:
-        if index not in suspects:
+        if index not in isolated_indexes:
             ordinary.append(index)
             continue
         waited_ms = now_ms - tracked.isolated_since(ready.ref(index), now_ms)
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -121,41 +121,55 @@
         headroom = self._headroom.get(step.job.service, 0)
         max_tasks = _max_tasks(self._cluster, step, headroom, self._now_ms)
         chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
-        reason = _placement_reason(step)
-        if not chosen and step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
-            step, chosen = self._idle_jobs.place(step, groups)
-            reason = "idle"
-        for index, worker_id in zip(step.waiting, chosen, strict=False):
-            self._cluster.allocate(worker_id, step.step.reserved)
-            self._assignments.append(
-                Assignment(step.job.job_id, step.ref(index), worker_id, reason)
-            )
-        if step.isolated:
-            for worker_id in dict.fromkeys(chosen):
-                self._cluster.allocate_rest(worker_id)
+        if chosen:
+            self._assign(step, chosen, _placement_reason(step))
+        elif step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
+            relaxed, chosen = self._idle_jobs.place(step, groups)
+            self._assign(relaxed, chosen, "idle")
         if len(chosen) == len(step.waiting):
             return
         self._blocked += 1
-        unplaced = replace(step, waiting=step.waiting[len(chosen) :])
         if not chosen and len(self._waits) < MAX_EXPLAINED_WAITS:
             wait = explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms)
             if wait is not None:
                 self._waits.append(wait)
-        may_preempt = step.entitled or _may_preempt(step, self._now_ms)
-        if may_preempt and not step.isolated:
-            if self._wait_for_ends(unplaced, groups):
-                return
-            max_lost_work = inf if step.entitled else _max_lost_work(unplaced, self._now_ms)
-            if self._reclaim(unplaced, groups, max_lost_work):
-                return
-        if not chosen and self._may_reserve(step):
-            reserved = reserve(
-                self._cluster, step, groups, self._runs_by_end_time, self._now_ms, inf, firm=False
+        unplaced = replace(step, waiting=step.waiting[len(chosen) :])
+        if self._make_room(unplaced, groups) or chosen:
+            return
+        self._reserve(step, groups)
+
+    def _assign(self, step: ReadyStep, workers: Sequence[str], reason: str) -> None:
+        """Assign the first waiting tasks of a step to these workers."""
+        for index, worker_id in zip(step.waiting, workers, strict=False):
+            self._cluster.allocate(worker_id, step.step.reserved)
+            self._assignments.append(
+                Assignment(step.job.job_id, step.ref(index), worker_id, reason)
             )
-            if step.isolated:
-                self._reserved_isolated = self._reserved_isolated or reserved
-            else:
-                self._reserved_steps += reserved
+        if not step.isolated:
+            return
+        for worker_id in dict.fromkeys(workers):
+            self._cluster.allocate_rest(worker_id)
+
+    def _make_room(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
+        """Wait for runs that end soon or preempt others, if the step may; return success."""
+        if step.isolated or not (step.entitled or _may_preempt(step, self._now_ms)):
+            return False
+        if self._wait_for_ends(step, groups):
+            return True
+        max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
+        return self._reclaim(step, groups, max_lost_work)
+
+    def _reserve(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> None:
+        """Reserve room for a blocked step, if it may have a reservation."""
+        if not self._may_reserve(step):
+            return
+        reserved = reserve(
+            self._cluster, step, groups, self._runs_by_end_time, self._now_ms, inf, firm=False
+        )
+        if step.isolated:
+            self._reserved_isolated = self._reserved_isolated or reserved
+        else:
+            self._reserved_steps += reserved
 
     def _may_reserve(self, step: ReadyStep) -> bool:
         """Return whether a blocked step may have a reservation; of isolated steps, one may."""
