--- a/libs/soak/tests/test_soak.py
+++ b/libs/soak/tests/test_soak.py
@@ -30,7 +30,10 @@
         self.check_seed(9101, seconds=22, instances=6)
 
     def test_newer_seed_604(self) -> None:
-        """Shrinks workers, and has steps that prefer a rack, gangs for one rack and calm spells."""
+        """Guards against instances that stop following the workers after an odd entry.
+
+        Also shrinks workers, and has steps that prefer a rack, gangs for one rack and calm spells.
+        """
         self.check_seed(604, 14, 4, "--newer")
 
     def test_newer_seed_603(self) -> None:
