Ask a worker that refuses a task at most once a second

What callers would see: a storm of start orders and records. Since excluded workers are last resorts, a job without a run asks one that refuses in every pass, and again. Found in the read-through. Change: a worker that refused a task (unhealthy, unreachable, no room) is no candidate for 1 s, not even as a last resort; that takes the place of the exclusion for want of room.

--- a/libs/coordinator/src/hornbeamfold/coordinator/health.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/health.py
@@ -1,6 +1,6 @@
 """Excludes workers from new tasks for a while when runs on them fail or stall."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hornbeamfold.batch import Clock
 from hornbeamfold.telemetry import counter, get_logger
@@ -14,9 +14,8 @@
 # The duration of the first exclusion, which doubles with each further one up to the maximum.
 EXCLUSION_MS = 4_000
 MAX_EXCLUSION_MS = 16_000
-# A worker that refuses a task for want of room is not asked again in every pass until its entry in
-# the registry shows that it has shrunk.
-NO_ROOM_EXCLUSION_MS = 1_000
+# A worker that refuses a task is not asked again in every pass, not even as a last resort.
+REFUSAL_PAUSE_MS = 1_000
 
 
 @dataclass(frozen=True)
@@ -24,6 +23,7 @@
     failed_jobs: frozenset[str] = field(default_factory=frozenset)
     excluded_until_ms: int = 0
     exclusions: int = 0
+    refused_ms: int | None = None
 
 
 class WorkerHealth:
@@ -38,6 +38,13 @@
         record = self._records.get(worker_id)
         return record is not None and self._clock() < record.excluded_until_ms
 
+    def has_refused(self, worker_id: str) -> bool:
+        """Return whether a worker refused a task a moment ago."""
+        record = self._records.get(worker_id)
+        if record is None or record.refused_ms is None:
+            return False
+        return self._clock() - record.refused_ms < REFUSAL_PAUSE_MS
+
     @property
     def excluded_count(self) -> int:
         """The number of workers that get no new tasks at present."""
@@ -52,7 +59,7 @@
         """Record that a run of a job failed on the worker."""
         record = self._records.get(worker_id, _FailureRecord())
         jobs = record.failed_jobs | {job_id}
-        self._records[worker_id] = _FailureRecord(jobs, record.excluded_until_ms, record.exclusions)
+        self._records[worker_id] = replace(record, failed_jobs=jobs)
         if len(jobs) >= FAILED_JOBS_BEFORE_EXCLUSION:
             self.exclude(worker_id, "failures")
 
@@ -63,22 +70,15 @@
         if now < record.excluded_until_ms:
             return
         duration_ms = min(EXCLUSION_MS << record.exclusions, MAX_EXCLUSION_MS)
-        self._set_aside(worker_id, reason, duration_ms, record.exclusions + 1)
-
-    def refused_room(self, worker_id: str) -> None:
-        """Exclude a worker that refused a task for want of room for a moment.
-
-        It is no sign of ill health, so later exclusions do not get longer.
-        """
-        record = self._records.get(worker_id, _FailureRecord())
-        if self._clock() >= record.excluded_until_ms:
-            self._set_aside(worker_id, "no room", NO_ROOM_EXCLUSION_MS, record.exclusions)
-
-    def _set_aside(self, worker_id: str, reason: str, duration_ms: int, exclusions: int) -> None:
-        record = self._records.get(worker_id, _FailureRecord())
-        until_ms = self._clock() + duration_ms
-        self._records[worker_id] = _FailureRecord(record.failed_jobs, until_ms, exclusions)
+        self._records[worker_id] = replace(
+            record, excluded_until_ms=now + duration_ms, exclusions=record.exclusions + 1
+        )
         _exclusions(1, reason=reason)
         logger.warning(
             "worker_set_aside", extra={"worker": worker_id, "reason": reason, "for_ms": duration_ms}
         )
+
+    def refused(self, worker_id: str) -> None:
+        """Record that the worker refused a task, for whatever reason."""
+        record = self._records.get(worker_id, _FailureRecord())
+        self._records[worker_id] = replace(record, refused_ms=self._clock())
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -34,7 +34,7 @@
     isolating = tracker.isolating_workers()
     for session in sessions:
         worker = session.worker
-        if not session.usable or worker.draining:
+        if not session.usable or worker.draining or health.has_refused(worker.worker_id):
             continue
         if worker.availability_zone in operator.zones_out:
             continue
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -387,8 +387,8 @@
     def _on_not_started(self, run: Run, reason: Refusal) -> None:
         if reason in (Refusal.UNHEALTHY, Refusal.UNREACHABLE):
             self._health.exclude(run.worker_id, reason.value)
-        if reason is Refusal.NO_ROOM:
-            self._health.refused_room(run.worker_id)
+        if reason in (Refusal.UNHEALTHY, Refusal.UNREACHABLE, Refusal.NO_ROOM):
+            self._health.refused(run.worker_id)
         sent = self._tracker.runs.get(run.name)
         self._end_run(run.name, RunEnd.LOST)
         session = self._sessions.get(run.worker_id)
--- a/libs/coordinator/tests/test_planner_inputs.py
+++ b/libs/coordinator/tests/test_planner_inputs.py
@@ -201,6 +201,24 @@
         self.add("b", Step(1, DEMAND))
         self.assertLess(self.wait_for_run("b"), MAX_IDLE_BESIDE_ROOM_MS)
 
+    def test_a_worker_that_refuses_is_not_asked_in_every_pass(self) -> None:
+        """Guards against a storm of start orders to a worker that refuses each of them."""
+        for worker_id in ("w1", "w2"):
+            self.health.exclude(worker_id, "unhealthy")
+        self.add("b", Step(1, DEMAND))
+        asked = 0
+        for _ in range(100):
+            for each in self.plan_once():
+                (run,) = self.tracker.runs_of("b")
+                self.health.exclude(each.worker_id, "unhealthy")
+                self.health.refused(each.worker_id)
+                self.tracker.end_run(run.name, RunEnd.LOST)
+                asked += 1
+            self.clock.move(100)
+        # Each of two workers at most once a second, in 10 s.
+        self.assertLessEqual(asked, 20)
+        self.assertGreater(asked, 0)
+
     def test_an_excluded_worker_gets_no_tasks_while_another_has_room(self) -> None:
         """Guards against runs on a worker that fails everything."""
         for job_id in ("x", "y"):
