Let an idle job use reserved room that it leaves in time

Cause: idle jobs counted every reservation for ever, more strictly than the ordinary placement. Change: a reservation holds against them as against other work, by the end of the task.

--- a/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
@@ -5,7 +5,6 @@
 
 from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.cluster import (
-    FAR_FUTURE_MS,
     ClusterCapacity,
     WorkerGroup,
     pack,
@@ -31,7 +30,7 @@
     demand: Resources
     isolated: bool
     any_worker: bool
-    ignores_reservations: bool
+    ends_ms: int | None  # when reservations count
 
 
 class IdleJobPlacement:
@@ -40,8 +39,9 @@
     Room only shrinks during a pass, so a need that was not met is not looked at again.
     """
 
-    def __init__(self, cluster: ClusterCapacity) -> None:
+    def __init__(self, cluster: ClusterCapacity, now_ms: int) -> None:
         self._cluster = cluster
+        self._now_ms = now_ms
         self._scarce: dict[_Need, int] = {}
 
     def place(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> tuple[ReadyStep, list[str]]:
@@ -75,17 +75,17 @@
         """
         waiting = len(step.waiting)
         needed = waiting if step.step.gang else 1
-        ignores_reservations = step.step.long_running or self._cluster.is_half_idle(
-            step.job.service
-        )
-        available = self._available(ignores_reservations)
+        ends_ms: int | None = self._now_ms + step.step.estimate_ms
+        if step.step.long_running or self._cluster.is_half_idle(step.job.service):
+            ends_ms = None
+        available = self._available(ends_ms)
         need = _Need(
             step.job.service,
             step.step.required_label,
             step.step.reserved,
             step.isolated,
             step.any_worker,
-            ignores_reservations,
+            ends_ms,
         )
         if needed >= self._scarce.get(need, needed + 1):
             return []
@@ -103,10 +103,11 @@
         chosen = pack(self._cluster, step, wanted, members, available)
         return chosen if len(chosen) == wanted or not step.step.gang else []
 
-    def _available(self, ignores_reservations: bool) -> Available:
-        if ignores_reservations:
+    def _available(self, ends_ms: int | None) -> Available:
+        """Return the room of a worker for tasks that end then, or regardless of reservations."""
+        if ends_ms is None:
             return self._cluster.available_to_idle_job
-        return lambda worker_id: self._cluster.available(worker_id, FAR_FUTURE_MS)
+        return lambda worker_id: self._cluster.available(worker_id, ends_ms)
 
     def _is_ample(
         self, step: ReadyStep, members: Sequence[str], available: Available, tasks: int
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -90,7 +90,7 @@
         headroom: Mapping[str, int],
     ) -> None:
         self._cluster = ClusterCapacity(workers)
-        self._idle_jobs = IdleJobPlacement(self._cluster)
+        self._idle_jobs = IdleJobPlacement(self._cluster, now_ms)
         self._placed_runs = placed_runs
         self._now_ms = now_ms
         self._headroom = headroom
--- a/libs/scheduling/tests/test_plan.py
+++ b/libs/scheduling/tests/test_plan.py
@@ -197,6 +197,19 @@
         result = plan([step], [*workers, *others], [], self.BOUND_MS)
         self.assertEqual(len(result.assignments), 2)
 
+    def test_a_job_starts_before_a_reservation_in_a_full_service(self) -> None:
+        """Guards against a job that waits beside room that a gang needs only after its end."""
+        workers = [candidate(f"w{each}", "r1", free=NOTHING) for each in range(3)]
+        workers.append(candidate("w3", "r2"))
+        ending = [placed_run("old", each, f"w{each}", CAPACITY, 9_000) for each in range(3)]
+        gang = ready("gang", Step(4, resources(8), gang=True), due_ms=5_000)
+        for estimate_ms, expected in ((6_000, {"a": ["w3"]}), (20_000, {})):
+            with self.subTest(estimate_ms=estimate_ms):
+                step = Step(1, resources(1), estimate_ms=estimate_ms, preferred_rack="r1")
+                job = ready("a", step, due_ms=80_000, idle_since_ms=0)
+                result = plan([gang, job], workers, ending, self.BOUND_MS)
+                self.assertEqual(placed(result), expected)
+
     def test_a_long_running_task_starts_behind_a_blocked_job_of_the_same_size(self) -> None:
         """Guards against room that counts as scarce for a task since another job may not use it."""
         workers = [candidate("w1", free=NOTHING), candidate("w2", free=NOTHING), candidate("w3")]
