--- a/libs/soak/src/hornbeamfold/soak/__main__.py
+++ b/libs/soak/src/hornbeamfold/soak/__main__.py
@@ -20,13 +20,12 @@
 from typer import Option, Typer  # noqa: E402
 
 from hornbeamfold.batch import elapsed_ms  # noqa: E402
+from hornbeamfold.emulator.odd_entries import write_odd_entries  # noqa: E402
 from hornbeamfold.emulator.processes import is_ready, stop_all, wait_for  # noqa: E402
 from hornbeamfold.platform.http import HttpClient  # noqa: E402
-from hornbeamfold.platform.registry import TOPIC as WORKER_TOPIC  # noqa: E402
 from hornbeamfold.soak.cluster import Cluster, ClusterSize  # noqa: E402
 from hornbeamfold.soak.faults import FAULTS, NEWER_FAULTS, SoakFault, Undo  # noqa: E402
 from hornbeamfold.soak.load import LoadGenerator  # noqa: E402
-from hornbeamfold.soak.odd_entries import write_odd_entries  # noqa: E402
 
 READY_TIMEOUT_S = 60.0
 # The sites require recovery within 12 s, and the end of accepted jobs within another 14 s.
@@ -104,8 +103,7 @@
     load.start()
     eventlet.spawn(cluster.watch_ready_work)
     if newer:
-        entries = cluster.platform.store.topic(WORKER_TOPIC)
-        eventlet.spawn(write_odd_entries, entries, Random(seed))
+        eventlet.spawn(write_odd_entries, cluster.platform.store, Random(seed))
     _inject_faults(cluster, Random(seed), seconds, newer, counts)
     load.stop()
     wait_for(lambda: load.active_callers == 0, LAST_CALLS_TIMEOUT_S)
