--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -363,19 +363,39 @@
         evident = end is RunEnd.WORKER_CRASHED
         if tracked is None or not tracked.add_crash(run.name, alone, evident, run.listed_for_ms):
             return
-        crashes = tracked.task(run.name.task).crashes
-        extra = {
-            "request": run.name.job_id,
-            "task": list(run.name.task),
-            "run": run.name.run,
-            "worker": run.worker_id,
-            "alone": alone,
-            "evident": evident,
-            "crashes": crashes,
-        }
-        logger.warning("worker_crashed_under_run", extra=extra)
-        if tracked.ended:
-            logger.warning("task_given_up", extra=extra)
+        _log_crash(tracked, run.name, run.worker_id, alone, evident)
+
+    def confirm_crash(
+        self, name: RunName, worker_id: str, alone: bool, evident: bool, counted: bool
+    ) -> tuple[RunName, ...]:
+        """Count the crash of a worker that is known only after a run on it was ended.
+
+        `counted` says that the loss was counted as a crash without evidence. Returns the runs that
+        must be stopped because of it.
+        """
+        tracked = self._jobs.get(name.job_id)
+        if tracked is None or not tracked.confirm_crash(name.task, alone, evident, counted):
+            return ()
+        self._changed.add(name.job_id)
+        _log_crash(tracked, name, worker_id, alone, evident)
+        return self._close_job(tracked) if tracked.ended else ()
+
+    def withdraw_crash(self, name: RunName, worker_id: str) -> None:
+        """Take back a crash without evidence, as the worker was only cut off."""
+        tracked = self._jobs.get(name.job_id)
+        if tracked is None or not tracked.withdraw_crash(name.task):
+            return
+        self._changed.add(name.job_id)
+        logger.info(
+            "crash_withdrawn",
+            extra={
+                "request": name.job_id,
+                "task": list(name.task),
+                "run": name.run,
+                "worker": worker_id,
+                "crashes": tracked.task(name.task).crashes,
+            },
+        )
 
     def _mark_gang_done(self, tracked: TrackedJob, name: RunName) -> None:
         now = self._clock()
@@ -409,3 +429,20 @@
             return ()
         tracked.cancel()
         return self._close_job(tracked)
+
+
+def _log_crash(
+    tracked: TrackedJob, name: RunName, worker_id: str, alone: bool, evident: bool
+) -> None:
+    extra = {
+        "request": name.job_id,
+        "task": list(name.task),
+        "run": name.run,
+        "worker": worker_id,
+        "alone": alone,
+        "evident": evident,
+        "crashes": tracked.task(name.task).crashes,
+    }
+    logger.warning("worker_crashed_under_run", extra=extra)
+    if tracked.ended:
+        logger.warning("task_given_up", extra=extra)
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -194,7 +194,8 @@
         """Return how a run without a reported end ended on the incarnation born at `born_ms`.
 
         `lost` is why the runs on the worker are over, or None after a report. A worker that is cut
-        off may outlive its lease, and may lose its entry in the registry as well.
+        off may outlive its lease, refuse or reset connections meanwhile, and may lose its entry in
+        the registry as well.
         """
         if born_ms in self._drained:
             return RunEnd.LOST
@@ -206,8 +207,6 @@
             return RunEnd.WORKER_CRASHED
         if lost is not RunsLost.LEASE_EXPIRED:
             return RunEnd.LOST
-        if self._refusals > 0:
-            return RunEnd.WORKER_CRASHED
         return RunEnd.LOST if self._registered else RunEnd.WORKER_VANISHED
 
     def _note_drain(self, worker: Worker) -> None:
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -21,15 +21,15 @@
     WorkerPort,
 )
 from hornbeamfold.coordinator.announcer import Announcer
-from hornbeamfold.coordinator.crash_history import CrashHistory
 from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_intake import IntakeHooks, JobIntake
-from hornbeamfold.coordinator.job_tracker import Holding, JobTracker, Run
+from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.orders import OrderHooks
 from hornbeamfold.coordinator.planner_inputs import PlacedRuns, candidate_workers, ready_steps
+from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
     MIN_CLOCK_RATE,
@@ -103,7 +103,9 @@
         self._urgent_demand = UrgentDemand()
         self._placed_runs = PlacedRuns()
         self._wait_log = WaitLog(deps.clock)
-        self._crash_history = CrashHistory(deps.clock)
+        self._losses = RunLosses(
+            self._tracker, LossHooks(self._end_run, self._stop_all), deps.clock
+        )
         self._reported_workers: set[str] = set()
         self._sessions: dict[str, Session] = {}
         self._active = True
@@ -160,7 +162,7 @@
             busy_wait_ms=lambda: busy_renewal_wait_ms(len(self._sessions), deps.cores),
             on_report=self._on_report,
             on_ended=self._on_ended,
-            on_runs_lost=self._on_runs_lost,
+            on_runs_lost=self._losses.end_all,
             after_store=self._journal.after_store,
         )
 
@@ -330,12 +332,12 @@
         for run in tuple(self._tracker.runs.values()):
             if run.worker_id in self._sessions:
                 continue
-            gone = run.incarnation is not None and self._registry_is_current()
-            self._end_run(run.name, RunEnd.WORKER_VANISHED if gone else RunEnd.LOST)
+            self._losses.end_orphan(run, self._registry_is_current())
 
     def _on_report(self, session: Session, report: LeaseReport, sent_ms: int) -> None:
         """Reconcile the runs that a worker reports with the job tracker."""
         worker = session.worker
+        self._losses.review(session)
         reported: set[RunName] = set()
         unread = self._unread_runs()
         unknown = 0
@@ -359,7 +361,7 @@
                 if run.stop_reason and run.name in reported:
                     session.orders.stop(run)
                 continue
-            self._end_lost_run(session, run)
+            self._losses.end(session, run)
         self._stop_stragglers(worker.worker_id)
         for leaving in runs_outlasting_drain(
             self._tracker, self._tracker.runs_on(worker.worker_id), worker, self._deps.clock()
@@ -403,41 +405,7 @@
             return
         # The answer may be late: the worker may have begun again and have runs since.
         if sent.incarnation is not None:
-            self._on_runs_lost(session, RunsLost.ANOTHER_ANSWERS, sent.incarnation)
-
-    def _on_runs_lost(self, session: Session, reason: RunsLost, born_ms: int) -> None:
-        """End the runs on incarnations of a worker that were born at `born_ms` or before."""
-        runs = [
-            run
-            for run in self._tracker.runs_on(session.worker.worker_id)
-            if run.incarnation is None or run.incarnation <= born_ms
-        ]
-        if runs:
-            logger.warning(
-                "runs_lost",
-                extra={
-                    "worker": session.worker.worker_id,
-                    "reason": reason.value,
-                    "born": born_ms,
-                    "requests": sorted({run.name.job_id for run in runs}),
-                },
-            )
-        for run in runs:
-            self._end_lost_run(session, run, reason)
-
-    def _end_lost_run(self, session: Session, run: Run, lost: RunsLost | None = None) -> None:
-        """End a run that its worker no longer has and whose end was not reported."""
-        end = RunEnd.LOST
-        if run.incarnation is not None and run.holding > Holding.NONE:
-            end = session.lost_run_end(run.incarnation, lost)
-        if end is RunEnd.WORKER_CRASHED:
-            runs = (run, *self._tracker.runs_on(run.worker_id))
-            suspects = frozenset(self._tracker.suspect_key(each.name) for each in runs)
-            self._crash_history.record(run.worker_id, suspects)
-            widespread = self._crash_history.is_widespread(self._tracker.suspect_key(run.name))
-            if widespread or run.holding < Holding.CERTAIN:
-                end = RunEnd.WORKER_VANISHED
-        self._end_run(run.name, end)
+            self._losses.end_all(session, RunsLost.ANOTHER_ANSWERS, sent.incarnation)
 
     def _end_run(self, name: RunName, end: RunEnd, checkpoint: str = "") -> None:
         self._stop_all(self._tracker.end_run(name, end, checkpoint), "job ended or gang broken")
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -211,13 +211,39 @@
             self._set_crashes(name.task, 0)
             return True
         task = self.task(name.task)
-        crashes, vanished = task.crashes + 1, task.vanished + (not evident)
-        self._set_crashes(name.task, crashes, vanished)
+        self._set_crashes(name.task, task.crashes + 1, task.vanished + (not evident))
+        self._fail_after_crashes(name.task, alone, evident)
+        return True
+
+    def _fail_after_crashes(self, ref: TaskRef, alone: bool, evident: bool) -> None:
+        task = self.task(ref)
         limit = MAX_CRASHES_WITHOUT_EVIDENCE
-        if evident and crashes - vanished >= MIN_CRASHES_WITH_EVIDENCE:
+        if evident and task.crashes - task.vanished >= MIN_CRASHES_WITH_EVIDENCE:
             limit = MAX_CRASHES_ALONE if alone else MAX_CRASHES
-        if crashes >= limit and not self.ended:
+        if task.crashes >= limit and not self.ended:
             self._state = JobState.FAILED
+
+    def confirm_crash(self, ref: TaskRef, alone: bool, evident: bool, counted: bool) -> bool:
+        """Count the crash of a worker that is known only after the run on it was ended.
+
+        `counted` says that the loss was counted as a crash without evidence. Returns whether the
+        counts have changed.
+        """
+        task = self.task(ref)
+        if task.phase is TaskPhase.DONE or (counted and not (evident and task.vanished)):
+            return False
+        crashes = task.crashes if counted else task.crashes + 1
+        vanished = task.vanished - counted + (not evident)
+        self._set_crashes(ref, crashes, vanished)
+        self._fail_after_crashes(ref, alone, evident)
+        return True
+
+    def withdraw_crash(self, ref: TaskRef) -> bool:
+        """Take back a crash without evidence; return False if none is counted any more."""
+        task = self.task(ref)
+        if not task.vanished:
+            return False
+        self._set_crashes(ref, task.crashes - 1, task.vanished - 1)
         return True
 
     def clear_crashes(self, name: RunName, ran_ms: int) -> bool:
