--- a/libs/batch/src/hornbeamfold/batch/ports.py
+++ b/libs/batch/src/hornbeamfold/batch/ports.py
@@ -149,12 +149,10 @@
 class NoAnswer:
     """No answer: the order may have been carried out or may still be carried out later.
 
-    `connection_refused` means that the host answered and has no listener on the worker's port, and
-    `closed` that the connection ended after the order was sent, rather than staying silent.
+    `closed` means that the connection ended after the order was sent, rather than staying silent.
     """
 
     reason: str
-    connection_refused: bool = False
     closed: bool = False
 
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -44,9 +44,6 @@
 # Work on a lost worker restarts after its lease expires. Together with the time above, work
 # continues for 12 s without the store.
 MAX_LEASE_MS = 6_000
-# A draining worker whose host refuses this many connections in a row has left, and its runs with
-# it. Its entry in the registry may last for seconds more.
-REFUSALS_OF_A_LEFT_WORKER = 2
 # A worker's clock may be 2% slow. The margin is for the delivery of the renewal.
 MIN_CLOCK_RATE = 0.97
 CLOCK_MARGIN_MS = 300
@@ -57,7 +54,6 @@
 
     ANOTHER_ANSWERS = "another incarnation answers"
     LEASE_EXPIRED = "lease expired"
-    LEFT = "left"
 
 
 def lease_ms(bounds: Bounds) -> int:
@@ -118,7 +114,6 @@
         )
         self._orders = Orders(link, token, port, hooks.orders, bounds, clock)
         self._disconnected = False
-        self._refusals = 0
         # The incarnations that announced that they leave, by their birth.
         self._drained: set[int] = set()
         self._note_drain(worker)
@@ -205,7 +200,7 @@
             return RunEnd.WORKER_CRASHED if replaced else RunEnd.LOST
         if lost is RunsLost.ANOTHER_ANSWERS:
             return RunEnd.WORKER_CRASHED
-        if lost is not RunsLost.LEASE_EXPIRED:
+        if lost is None:
             return RunEnd.LOST
         return RunEnd.LOST if self._registered else RunEnd.WORKER_VANISHED
 
@@ -251,7 +246,6 @@
                 return
             match outcome:
                 case LeaseReport():
-                    self._refusals = 0
                     self._on_report(outcome, sent_ms)
                 case Refused(Refusal.FENCED):
                     self._hooks.orders.on_fenced(f"worker {self._worker.worker_id}")
@@ -263,13 +257,11 @@
                 case Refused(reason, _):
                     self._note_disconnected(reason.value)
                     eventlet.sleep(RETRY_MS / 1_000)
-                case NoAnswer(reason, connection_refused):
+                case NoAnswer(reason):
                     self._note_disconnected(reason)
-                    self._refusals = self._refusals + 1 if connection_refused else 0
+                    # Whatever the worker's host answers, only its lease ends its runs for certain.
                     if self._clock() > self._lease_until_ms:
                         self._hooks.on_runs_lost(self, RunsLost.LEASE_EXPIRED, self._worker.born_ms)
-                    elif self._worker.draining and self._refusals >= REFUSALS_OF_A_LEFT_WORKER:
-                        self._hooks.on_runs_lost(self, RunsLost.LEFT, self._worker.born_ms)
                     eventlet.sleep(RETRY_MS / 1_000)
 
     def _note_disconnected(self, reason: str) -> None:
