--- a/libs/batch/src/hornbeamfold/batch/ports.py
+++ b/libs/batch/src/hornbeamfold/batch/ports.py
@@ -161,12 +161,17 @@
 
 @dataclass(frozen=True)
 class LeaseReport:
-    """A worker's answer to a lease renewal; `clock_ms` is the worker's monotonic clock."""
+    """A worker's answer to a lease renewal; `clock_ms` is the worker's monotonic clock.
+
+    `ended` has the first of the ends that are not acknowledged. `more_ends` means that there may be
+    others, so that a run that is not listed may have ended as well.
+    """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    more_ends: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -357,11 +357,15 @@
         session.set_unknown_runs(unknown)
         reported.update(each.name for each in report.ended)
         for run in self._tracker.runs_on(worker.worker_id):
-            if run.name in reported or run.settled_ms is None or run.settled_ms >= sent_ms:
-                if run.stop_reason and run.name in reported:
+            if run.name in reported:
+                if run.stop_reason:
                     session.orders.stop(run)
                 continue
-            self._losses.end(session, run)
+            if run.settled_ms is None or run.settled_ms >= sent_ms:
+                continue
+            # The end of the run may come later in the list.
+            if not report.more_ends:
+                self._losses.end(session, run)
         self._stop_stragglers(worker.worker_id)
         for leaving in runs_outlasting_drain(
             self._tracker, self._tracker.runs_on(worker.worker_id), worker, self._deps.clock()
