--- a/libs/batch/src/hornbeamfold/batch/ports.py
+++ b/libs/batch/src/hornbeamfold/batch/ports.py
@@ -10,6 +10,9 @@
 
 from hornbeamfold.batch.workers import EndedTask, RunName, RunningTask, Worker
 
+# The lengths of a record and of its key.
+RECORD_OVERHEAD_BYTES = 8
+
 
 @dataclass(frozen=True)
 class KeyedRecord:
@@ -23,6 +26,19 @@
     offset: int = -1
 
 
+def stored_bytes(record: KeyedRecord) -> int:
+    """Return an upper bound of the size of a record in a store, with its key and framing."""
+    return len(record.key.encode()) + len(record.value) + RECORD_OVERHEAD_BYTES
+
+
+@dataclass(frozen=True)
+class TopicLimits:
+    """The largest record that a store accepts, and all records of one append, in bytes."""
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+
 @dataclass(frozen=True)
 class Fence:
     """Identifies an append: the store accepts only the highest epoch of a producer.
@@ -49,6 +65,13 @@
     reason: str
 
 
+@dataclass(frozen=True)
+class Rejected:
+    """The store did not append the records, and a repeated append would be rejected as well."""
+
+    reason: str
+
+
 @dataclass(frozen=True)
 class Fenced:
     """The store has seen a higher epoch, or a sequence number of another producer instance."""
@@ -63,7 +86,7 @@
     reason: str
 
 
-AppendOutcome = Stored | NotStored | Fenced | StoreUnknown
+AppendOutcome = Stored | NotStored | Rejected | Fenced | StoreUnknown
 
 
 @dataclass(frozen=True)
@@ -114,6 +137,7 @@
     append: Callable[[Sequence[KeyedRecord], Fence | None, int], AppendOutcome]
     read: Callable[[int, int], ReadOutcome]
     newest: Callable[[str], NewestPage | ReadFailed]
+    limits: TopicLimits = TopicLimits()
 
 
 class Refusal(Enum):
--- a/libs/batch/src/hornbeamfold/batch/progress.py
+++ b/libs/batch/src/hornbeamfold/batch/progress.py
@@ -52,7 +52,11 @@
 
 @dataclass(frozen=True)
 class JobProgress:
-    """The recorded progress of a job; tasks that never ran are omitted."""
+    """The recorded progress of a job; tasks that never ran are omitted.
+
+    `parts` are the numbers of the parts of which there are records.
+    """
 
     state: JobState = JobState.PENDING
     tasks: Mapping[TaskRef, TaskProgress] = field(default_factory=dict)
+    parts: frozenset[int] = frozenset()
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
@@ -1,7 +1,7 @@
 """Adds jobs from the replica to the job tracker, with progress from earlier coordinators."""
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import eventlet
 
@@ -119,4 +119,4 @@
                 "in_all": len(unknown),
             },
         )
-    return JobProgress(progress.state, tasks)
+    return replace(progress, tasks=tasks)
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -15,6 +15,7 @@
     RunName,
     RunningTask,
     TaskPhase,
+    TaskProgress,
     TaskRef,
     Worker,
 )
@@ -220,6 +221,11 @@
             return self._final_states[job_id], {}
         return tracked.state, tracked.tasks
 
+    def pop_changed_parts(self, job_id: str) -> dict[int, dict[TaskRef, TaskProgress]]:
+        """Return the tasks of a job's changed parts; an ended job has its state only."""
+        tracked = self._jobs.get(job_id)
+        return {0: {}} if tracked is None else tracked.pop_changed_parts()
+
     def begin_runs(
         self, job_id: str, refs: Iterable[TaskRef], workers: Iterable[Worker]
     ) -> list[Run]:
@@ -430,6 +436,14 @@
         tracked.cancel()
         return self._close_job(tracked)
 
+    def fail(self, job_id: str) -> tuple[RunName, ...]:
+        """Fail a job whose progress cannot be recorded; return its runs, which must be stopped."""
+        tracked = self._jobs.get(job_id)
+        if tracked is None:
+            return ()
+        tracked.fail()
+        return self._close_job(tracked)
+
 
 def _log_crash(
     tracked: TrackedJob, name: RunName, worker_id: str, alone: bool, evident: bool
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -11,6 +11,7 @@
     Clock,
     EndedTask,
     JobState,
+    KeyedRecord,
     LeaseReport,
     OperatorState,
     Refusal,
@@ -42,7 +43,13 @@
 from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
 from hornbeamfold.coordinator.stragglers import runs_outlasting_drain, straggling_runs
 from hornbeamfold.coordinator.wait_log import WaitLog
-from hornbeamfold.ledger import CoordinatorRecord, Replica, encode_coordinator
+from hornbeamfold.ledger import (
+    CoordinatorRecord,
+    Replica,
+    encode_coordinator,
+    parse_progress_key,
+    task_parts,
+)
 from hornbeamfold.scheduling import Plan, plan
 from hornbeamfold.telemetry import get_logger, histogram, keep_running, log_exceptions
 
@@ -114,13 +121,24 @@
         self._orphan_deadline_ms = 0
         self._began_ms = deps.clock()
         self._progress_writer = FencedWriter(
-            "progress", deps.progress_topic, epoch, sequence, self.step_down, deps.clock
+            "progress",
+            deps.progress_topic,
+            epoch,
+            sequence,
+            self.step_down,
+            deps.clock,
+            self._on_progress_rejected,
+        )
+        self._journal = Journal(
+            self._progress_writer,
+            self._tracker,
+            self._announce,
+            deps.progress_topic.limits.record_bytes,
         )
-        self._journal = Journal(self._progress_writer, self._tracker, self._announce)
         self._announcer = Announcer(
             FencedWriter("jobs", deps.topic, epoch, sequence, self.step_down, deps.clock),
             lambda: encode_coordinator(self._record),
-            self._journal.remove,
+            self._remove_progress,
             deps.clock,
         )
         self._intake = JobIntake(
@@ -128,7 +146,7 @@
             self._tracker,
             IntakeHooks(
                 is_active=lambda: self._active,
-                on_end_known=self._journal.remove,
+                on_end_known=self._remove_progress,
                 on_state=self._announcer.announce,
                 on_runs_cancelled=self._on_runs_cancelled,
                 on_change=self._notify,
@@ -248,6 +266,23 @@
         if self._deps.replica.recorded_state(job_id) is not state:
             self._announcer.announce(job_id, state)
 
+    def _remove_progress(self, job_id: str) -> None:
+        """Remove the recorded progress of a job whose final state is published."""
+        job = self._deps.replica.job(job_id)
+        if job is not None:
+            self._journal.remove(job_id, task_parts(job).count)
+
+    def _on_progress_rejected(self, record: KeyedRecord) -> None:
+        """Fail the job of a record that the store never accepts; the other jobs go on."""
+        key = parse_progress_key(record.key)
+        if key is None:
+            return
+        job_id, part = key
+        stopped = self._tracker.fail(job_id)
+        logger.error("job_not_recordable", extra={"request": job_id, "part": part})
+        self._stop_all(stopped, "job ended")
+        self._journal.notify()
+
     def _plan_while_active(self) -> None:
         while self._active and self._planning:
             self._wake = Event()
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -16,6 +16,7 @@
     TaskProgress,
     TaskRef,
 )
+from hornbeamfold.ledger import task_parts
 
 # After this many crashes of its workers a task runs alone on a worker.
 ISOLATION_CRASHES = 2
@@ -48,6 +49,10 @@
         self._isolated: dict[tuple[int, int], set[int]] = {}
         self._isolated_since_ms: dict[TaskRef, int] = {}
         self._critical_path_ms = estimate_critical_path_ms(job)
+        self._parts = task_parts(job)
+        self._recorded_state = progress.state
+        # Parts that the store does not have yet, and later those that have changed.
+        self._changed_parts = {self._parts.part_of(ref) for ref in self._tasks} - progress.parts
         self._unfinished_tasks = 0
         for occurrence in range(job.occurrences):
             for index, step in enumerate(job.steps):
@@ -98,6 +103,26 @@
         """Return the progress of a task."""
         return self._tasks.get(ref, NOT_STARTED)
 
+    def _set_task(self, ref: TaskRef, task: TaskProgress) -> None:
+        self._tasks[ref] = task
+        self._changed_parts.add(self._parts.part_of(ref))
+
+    def pop_changed_parts(self) -> dict[int, dict[TaskRef, TaskProgress]]:
+        """Return the tasks of the parts that have changed since the last call.
+
+        The first part is among them if the state of the job has changed.
+        """
+        changed, self._changed_parts = self._changed_parts, set()
+        if self._state is not self._recorded_state:
+            self._recorded_state = self._state
+            changed.add(0)
+        return {
+            part: {
+                ref: self._tasks[ref] for ref in self._parts.tasks_of(part) if ref in self._tasks
+            }
+            for part in sorted(changed)
+        }
+
     def startable_tasks(self, unix_ms: int, early_ms: int) -> Iterable[tuple[int, int, set[int]]]:
         """Yield occurrence, step and task indexes of the steps whose dependencies are done.
 
@@ -176,7 +201,7 @@
         task = replace(
             self.task(ref), phase=TaskPhase.ACTIVE, run=run, worker_id=worker_id, born_ms=born_ms
         )
-        self._tasks[ref] = task
+        self._set_task(ref, task)
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
         self._isolated_since_ms.pop(ref, None)
         if self._state is JobState.PENDING:
@@ -220,8 +245,8 @@
         limit = MAX_CRASHES_WITHOUT_EVIDENCE
         if evident and task.crashes - task.vanished >= MIN_CRASHES_WITH_EVIDENCE:
             limit = MAX_CRASHES_ALONE if alone else MAX_CRASHES
-        if task.crashes >= limit and not self.ended:
-            self._state = JobState.FAILED
+        if task.crashes >= limit:
+            self.fail()
 
     def confirm_crash(self, ref: TaskRef, alone: bool, evident: bool, counted: bool) -> bool:
         """Count the crash of a worker that is known only after the run on it was ended.
@@ -257,7 +282,7 @@
         return True
 
     def _set_crashes(self, ref: TaskRef, crashes: int, vanished: int = 0) -> None:
-        self._tasks[ref] = replace(self.task(ref), crashes=crashes, vanished=vanished)
+        self._set_task(ref, replace(self.task(ref), crashes=crashes, vanished=vanished))
         key = (ref.occurrence, ref.step)
         if crashes >= ISOLATION_CRASHES:
             self._isolated.setdefault(key, set()).add(ref.index)
@@ -288,20 +313,20 @@
         task = self.task(ref)
         if task.phase is TaskPhase.DONE:
             return
-        self._tasks[ref] = replace(task, phase=TaskPhase.DONE, checkpoint="")
+        self._set_task(ref, replace(task, phase=TaskPhase.DONE, checkpoint=""))
         self._set_crashes(ref, 0)
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
         self._done_counts[ref.occurrence, ref.step] += 1
         self._unfinished_tasks -= 1
 
     def _set_waiting(self, ref: TaskRef, task: TaskProgress) -> None:
-        self._tasks[ref] = replace(task, phase=TaskPhase.WAITING, worker_id="", born_ms=0)
+        self._set_task(ref, replace(task, phase=TaskPhase.WAITING, worker_id="", born_ms=0))
         self._waiting[ref.occurrence, ref.step].add(ref.index)
 
     def _set_checkpoint(self, ref: TaskRef, checkpoint: str) -> None:
         """Store a checkpoint; all members of a gang resume from the same one."""
         for member in self.gang_refs(ref):
-            self._tasks[member] = replace(self.task(member), checkpoint=checkpoint)
+            self._set_task(member, replace(self.task(member), checkpoint=checkpoint))
 
     def _update_state(self) -> None:
         if self.ended:
@@ -321,6 +346,11 @@
         if not self.ended:
             self._state = JobState.CANCELLED
 
+    def fail(self) -> None:
+        """Mark the job as failed unless it has ended."""
+        if not self.ended:
+            self._state = JobState.FAILED
+
 
 def estimate_critical_path_ms(job: BatchJob) -> int:
     """Return the estimated duration of the longest chain of dependent steps."""
--- a/libs/gateway/src/hornbeamfold/gateway/jobs.py
+++ b/libs/gateway/src/hornbeamfold/gateway/jobs.py
@@ -8,9 +8,11 @@
     Clock,
     KeyedRecord,
     NotStored,
+    Rejected,
     Stored,
     StoreUnknown,
     TopicPort,
+    stored_bytes,
 )
 from hornbeamfold.batch import JobState as State
 from hornbeamfold.ledger import Follower, Replica, encode_cancel, encode_job
@@ -60,7 +62,7 @@
         """Store a job, unless a job with the same id is known: that is the same job.
 
         `deadline_ms` is a time of the local clock. Returns a refusal with "not run" only if the
-        store has refused every attempt.
+        store has refused every attempt, or cannot store a job of this size.
         """
         if self._replica.job(job.job_id) is None:
             refused = self._store(encode_job(job), deadline_ms)
@@ -104,6 +106,9 @@
         return Refused(ErrorKind.UNKNOWN_JOB, "no job has this id")
 
     def _store(self, record: KeyedRecord, deadline_ms: int) -> Refused | None:
+        max_bytes = self._topic.limits.record_bytes
+        if stored_bytes(record) > max_bytes:
+            return Refused(ErrorKind.BODY_TOO_LARGE, f"the record exceeds {max_bytes} bytes")
         self._in_flight += 1
         try:
             return self._append_until_stored(record, deadline_ms - ANSWER_MARGIN_MS)
@@ -140,7 +145,7 @@
                     unknown_reason = reason
                     if self._follower.failing or self._clock() - started_ms > MAX_UNKNOWN_MS:
                         return Refused(ErrorKind.OUTCOME_UNKNOWN, reason)
-                case NotStored(reason):
+                case NotStored(reason) | Rejected(reason):
                     if not unknown_reason and self._clock() - started_ms > MAX_REFUSED_MS:
                         return Refused(ErrorKind.LOG_UNAVAILABLE, reason)
                 case _:
--- a/libs/gateway/tests/test_jobs.py
+++ b/libs/gateway/tests/test_jobs.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from dataclasses import replace
 from unittest import mock
 
 from hornbeamfold.batch import (
@@ -12,10 +13,12 @@
     NotStored,
     ReadFailed,
     Records,
+    Rejected,
     Resources,
     Step,
     Stored,
     StoreUnknown,
+    TopicLimits,
     TopicPort,
 )
 from hornbeamfold.gateway import JobService
@@ -66,6 +69,16 @@
         self.assertEqual(answer.effective_ran, ExecutionStatus.NOT_RUN)
         self.assertLess(self.now, 1_000)
 
+    def test_a_job_that_cannot_be_stored_is_refused_at_once(self) -> None:
+        """Guards against a job that the store refuses until its caller gives up."""
+        calls = self.calls([Rejected("status 400")])
+        large = replace(JOB, payload="x" * TopicLimits().record_bytes)
+        answer = calls.submit(large, 3_000)
+        assert isinstance(answer, Refused)
+        self.assertEqual(answer.kind, ErrorKind.BODY_TOO_LARGE)
+        self.assertEqual(answer.effective_ran, ExecutionStatus.NOT_RUN)
+        self.assertEqual((self.appends, self.now), (0, 0))
+
     def test_a_lost_answer_is_never_reported_as_not_run(self) -> None:
         """Guards against reporting a stored job as refused, whatever the later outcomes."""
         for outcomes in ((UNKNOWN,), (UNKNOWN, REFUSED), (REFUSED, UNKNOWN, REFUSED)):
--- a/libs/ledger/src/hornbeamfold/ledger/__init__.py
+++ b/libs/ledger/src/hornbeamfold/ledger/__init__.py
@@ -6,10 +6,12 @@
     encode_coordinator,
     encode_job,
     encode_progress,
-    encode_progress_tombstone,
+    encode_progress_tombstones,
     encode_state,
+    parse_progress_key,
 )
 from hornbeamfold.ledger.follower import Follower
+from hornbeamfold.ledger.parts import TaskParts, task_parts
 from hornbeamfold.ledger.progress import load_progress
 from hornbeamfold.ledger.replica import Replica
 
@@ -17,11 +19,14 @@
     "CoordinatorRecord",
     "Follower",
     "Replica",
+    "TaskParts",
     "encode_cancel",
     "encode_coordinator",
     "encode_job",
     "encode_progress",
-    "encode_progress_tombstone",
+    "encode_progress_tombstones",
     "encode_state",
     "load_progress",
+    "parse_progress_key",
+    "task_parts",
 ]
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -4,6 +4,7 @@
 its state.
 """
 
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import MISSING, dataclass, field, fields, is_dataclass, replace
 from typing import Any
@@ -28,6 +29,7 @@
 STATE_PREFIX = "state/"
 PROGRESS_PREFIX = "progress/"
 COORDINATOR_KEY = "coordinator"
+_PART = re.compile(r"[1-9][0-9]{0,5}")
 
 
 @dataclass(frozen=True)
@@ -41,7 +43,7 @@
 
 @dataclass(frozen=True)
 class _Progress:
-    """The JSON document of a progress record: one row for each task that was started.
+    """The JSON document of a progress record: one row for each task of a part that was started.
 
     Rows of `done`: occurrence, step and the indexes of all its completed tasks. Rows of `active`:
     occurrence, step, index, run, worker id, `born_ms` of the worker's incarnation, failures and
@@ -103,19 +105,35 @@
     return decode_json(value, _State).state
 
 
-def encode_progress_tombstone(job_id: str) -> KeyedRecord:
-    """Return the tombstone that removes the progress of a job."""
-    return KeyedRecord(PROGRESS_PREFIX + job_id, b"")
+def encode_progress_tombstones(job_id: str, parts: int) -> list[KeyedRecord]:
+    """Return the tombstones that remove the progress of a job with this number of parts."""
+    return [KeyedRecord(_progress_key(job_id, part), b"") for part in range(parts)]
 
 
 def encode_progress(
-    job_id: str, state: JobState, tasks: Mapping[TaskRef, TaskProgress]
+    job_id: str, state: JobState, tasks: Mapping[TaskRef, TaskProgress], part: int = 0
 ) -> KeyedRecord:
-    """Return the progress record of a job."""
+    """Return the progress record of a part of a job; the state is that of the job."""
     document: dict[str, Any] = {"state": state.value}
     if state not in TERMINAL_STATES:
         document.update(_task_rows(tasks.items()))
-    return KeyedRecord(PROGRESS_PREFIX + job_id, msgspec.json.encode(document))
+    return KeyedRecord(_progress_key(job_id, part), msgspec.json.encode(document))
+
+
+def _progress_key(job_id: str, part: int) -> str:
+    """Return the key of a part; the first part has the key of the job."""
+    key = PROGRESS_PREFIX + job_id
+    return f"{key}/{part}" if part else key
+
+
+def parse_progress_key(key: str) -> tuple[str, int] | None:
+    """Return the job and the part of a progress record, or None if the key is of another kind."""
+    if not key.startswith(PROGRESS_PREFIX):
+        return None
+    job_id, _, part = key.removeprefix(PROGRESS_PREFIX).partition("/")
+    if not part:
+        return job_id, 0
+    return (job_id, int(part)) if _PART.fullmatch(part) else None
 
 
 def _task_rows(tasks: Iterable[tuple[TaskRef, TaskProgress]]) -> dict[str, list[Any]]:
