--- a/libs/coordinator/src/hornbeamfold/coordinator/orders.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/orders.py
@@ -57,6 +57,7 @@
     may_start: Callable[[Run, Worker], bool]  # whether the run may still start when it is sent
     on_sent: Callable[[RunName, int], None]  # a start order is sent to the incarnation born then
     on_held: Callable[[RunName, Holding], None]
+    on_start_done: Callable[[], None] = lambda: None  # an attempt to start a run has ended
 
 
 @dataclass(frozen=True)
@@ -88,9 +89,17 @@
         self._bounds = bounds
         self._clock = clock
         self._slots = Semaphore(MAX_CONCURRENT_ORDERS)
+        self._pending_starts: set[RunName] = set()
+        self._pending_stops: set[RunName] = set()
+
+    @property
+    def pending_starts(self) -> int:
+        """The number of start orders that wait for a slot or for their answers."""
+        return len(self._pending_starts)
 
     def start(self, run: Run, payload: str) -> None:
         """Send a start order in the background."""
+        self._pending_starts.add(run.name)
         self._spawn(lambda: self.send_start(run, payload))
 
     def _spawn(self, order: Callable[[], None]) -> None:
@@ -102,6 +111,19 @@
 
     def send_start(self, run: Run, payload: str) -> None:
         """Send a start order and report its outcome through the hooks."""
+        try:
+            outcome_known = self._attempt_start(run, payload)
+        finally:
+            self._pending_starts.discard(run.name)
+            self._hooks.on_start_done()
+        if not outcome_known:
+            # An unanswered order may still reach the worker. A stop order for the same run prevents
+            # its start.
+            self._stop_until_answered(run, "start order unanswered")
+            self._link.request_report()
+
+    def _attempt_start(self, run: Run, payload: str) -> bool:
+        """Send a start order; return False if it may still reach the worker later."""
         confirmed_ms = self._hooks.state_confirmed_ms()
         validity_ms = min(self._bounds.drain_ms, self._bounds.cancel_ms, self._bounds.zone_out_ms)
         now = self._clock()
@@ -114,11 +136,11 @@
             or not self._hooks.is_active()
         ):
             self._hooks.on_not_started(run, Refusal.TOO_LATE)
-            return
+            return True
         # The state may have changed while the run was recorded and waited for a slot.
         if not self._hooks.may_start(run, self._link.worker()):
             self._hooks.on_not_started(run, Refusal.TOO_LATE)
-            return
+            return True
         order = StartOrder(
             run.name, payload, self._token, worker_clock_ms + (until_ms - now), run.checkpoint
         )
@@ -149,10 +171,8 @@
             case Refused(reason, _) if attempts == 1:
                 self._hooks.on_not_started(run, reason)
             case _:
-                # An unanswered order may still reach the worker. A stop order for the same run
-                # prevents its start.
-                self._stop_until_answered(run, "start order unanswered")
-                self._link.request_report()
+                return False
+        return True
 
     def _start_until_answered(
         self, run: Run, order: StartOrder, until_ms: int
@@ -183,8 +203,18 @@
         return outcome
 
     def stop(self, run: Run) -> None:
-        """Send a stop order in the background until it is answered."""
-        self._spawn(lambda: self._stop_until_answered(run, run.stop_reason))
+        """Send a stop order in the background until it is answered, unless one is under way."""
+        if run.name in self._pending_stops:
+            return
+        self._pending_stops.add(run.name)
+
+        def stop() -> None:
+            try:
+                self._stop_until_answered(run, run.stop_reason)
+            finally:
+                self._pending_stops.discard(run.name)
+
+        self._spawn(stop)
 
     def _stop_until_answered(self, run: Run, reason: str) -> None:
         attempts = 0
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -1,10 +1,12 @@
 """Builds the inputs of a planning pass from the job tracker and the worker sessions."""
 
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 from dataclasses import replace
+from heapq import nsmallest
 from math import inf
 
-from hornbeamfold.batch import Bounds, OperatorState, RunName
+from hornbeamfold.batch import Bounds, OperatorState, RunName, Step
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.session import Session
@@ -12,6 +14,9 @@
 from hornbeamfold.coordinator.tracked import TrackedJob
 from hornbeamfold.scheduling import CandidateWorker, PlacedRun, ReadyStep, weighted_cores
 
+# The tasks of one step that a pass may place. More are not started at once, and a pass must not
+# take longer because many wait.
+MAX_OFFERED_TASKS = 512
 # The lower bound of the assumed remaining time, as estimates are often too short.
 MIN_REMAINING_MS = 500
 # Workers report progress about once a second.
@@ -80,7 +85,7 @@
                 tracked.job,
                 occurrence,
                 index,
-                tuple(sorted(waiting)),
+                _offered_tasks(step, waiting),
                 ready_ms,
                 now_ms + int(start_unix_ms + objective_ms - unix_ms),
                 job_id in entitled,
@@ -96,6 +101,13 @@
     return found
 
 
+def _offered_tasks(step: Step, waiting: AbstractSet[int]) -> tuple[int, ...]:
+    """Return the waiting tasks that a pass may place: the first ones, or all of a gang."""
+    if step.gang or len(waiting) <= MAX_OFFERED_TASKS:
+        return tuple(sorted(waiting))
+    return tuple(nsmallest(MAX_OFFERED_TASKS, waiting))
+
+
 def _idle_since(
     tracker: JobTracker, tracked: TrackedJob, occurrence: int, index: int, ready_ms: int
 ) -> int | None:
--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -1,5 +1,6 @@
 """Starts planned runs: records them first, then sends the orders, which are checked again."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import astuple, dataclass
 
@@ -11,6 +12,14 @@
 
 logger = get_logger("hornbeamfold.coordinator.starts")
 
+# The starts that may be recorded or under way at once, for each core of this instance. Orders that
+# wait longer than they are valid would be planned, recorded and dropped again without an end.
+MAX_PENDING_STARTS_PER_CORE = 256
+MIN_PENDING_STARTS = 64
+# The starts that may be under way to one worker. Its orders are sent a few at a time, so urgent
+# ones would wait behind those of a wide job.
+MAX_PENDING_STARTS_PER_WORKER = 32
+
 
 @dataclass(frozen=True)
 class StartDependencies:
@@ -24,26 +33,78 @@
     is_active: Callable[[], bool]
     end: Callable[[RunName, RunEnd], None]
     clock: Clock
+    cores: float = 1.0
+
+
+def max_pending_starts(cores: float) -> int:
+    """Return how many starts may be recorded or under way at once on an instance."""
+    return max(MIN_PENDING_STARTS, int(MAX_PENDING_STARTS_PER_CORE * cores))
 
 
 class RunStarter:
-    """Records and starts the runs of one term."""
+    """Records and starts the runs of one term, as many at once as their orders can be sent."""
 
     def __init__(self, deps: StartDependencies) -> None:
         self._deps = deps
+        self._max_pending = max_pending_starts(deps.cores)
+        # Runs that wait to be stored before their orders are sent.
+        self._unstored = 0
+        self._deferred = False
+
+    @property
+    def wants_plan(self) -> bool:
+        """Whether starts were put off, and half of those that were under way have ended."""
+        return self._deferred and self._pending() <= self._max_pending // 2
+
+    def _pending(self) -> int:
+        orders = (session.orders.pending_starts for session in self._deps.sessions.values())
+        return self._unstored + sum(orders)
 
     def begin(self, assignments: Iterable[Assignment]) -> None:
-        """Record runs for the assigned tasks and send the start orders once they are stored."""
+        """Record runs for the assigned tasks and send the start orders once they are stored.
+
+        Assignments come in queue order; those beyond the limit are left to a later pass.
+        """
         groups: dict[tuple[str, int, int], list[Assignment]] = {}
         for assignment in assignments:
             key = (assignment.job_id, assignment.task.occurrence, assignment.task.step)
             groups.setdefault(key, []).append(assignment)
+        room = self._max_pending - self._pending()
+        self._deferred = False
         begun: list[Run] = []
-        for (job_id, _, _), group in groups.items():
-            begun.extend(self._record_group(job_id, group))
+        for (job_id, _, step_index), group in groups.items():
+            if room <= 0:
+                self._deferred = True
+                break
+            taken = group
+            # A gang starts as a whole, however many members it has.
+            if not self._deps.tracker.jobs[job_id].job.steps[step_index].gang:
+                taken = self._within_limits(group, room, begun)
+            self._deferred = self._deferred or len(taken) < len(group)
+            if taken:
+                begun.extend(self._record_group(job_id, taken))
+                room -= len(taken)
         if begun:
+            self._unstored += len(begun)
             self._deps.after_store(lambda: self._send_orders(begun))
 
+    def _within_limits(
+        self, group: Sequence[Assignment], room: int, begun: Sequence[Run]
+    ) -> list[Assignment]:
+        """Return the assignments that may start now, with a limited number for each worker."""
+        under_way = Counter(run.worker_id for run in begun)
+        taken: list[Assignment] = []
+        for assignment in group:
+            worker_id = assignment.worker_id
+            pending = self._deps.sessions[worker_id].orders.pending_starts
+            if len(taken) == room:
+                break
+            if pending + under_way[worker_id] >= MAX_PENDING_STARTS_PER_WORKER:
+                continue
+            under_way[worker_id] += 1
+            taken.append(assignment)
+        return taken
+
     def _record_group(self, job_id: str, group: Sequence[Assignment]) -> list[Run]:
         tracked = self._deps.tracker.jobs[job_id]
         step = tracked.job.steps[group[0].task.step]
@@ -110,6 +171,7 @@
 
     def _send_orders(self, runs: Sequence[Run]) -> None:
         """Send the start orders of runs that have been stored."""
+        self._unstored -= len(runs)
         if not self._deps.is_active():
             return
         withheld = self._withheld_gangs(runs)
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -162,6 +162,7 @@
                 lambda: self._active,
                 self._end_run,
                 deps.clock,
+                deps.cores,
             )
         )
         orders = OrderHooks(
@@ -174,6 +175,7 @@
             may_start=self._starter.may_start,
             on_sent=self._tracker.set_incarnation,
             on_held=self._tracker.set_holding,
+            on_start_done=self._on_start_done,
         )
         self._hooks = SessionHooks(
             orders=orders,
@@ -432,6 +434,10 @@
                 self._health.failed(worker_id, each.name.job_id)
             self._end_run(each.name, each.end, each.checkpoint)
 
+    def _on_start_done(self) -> None:
+        if self._starter.wants_plan:
+            self._notify()
+
     def _on_not_started(self, run: Run, reason: Refusal) -> None:
         if reason in (Refusal.UNHEALTHY, Refusal.UNREACHABLE):
             self._health.exclude(run.worker_id, reason.value)
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -400,6 +400,19 @@
         self.assertEqual(self.calls.named("not started"), [Refusal.TOO_LATE])
         self.assertEqual(self.calls.named("sent"), [])
 
+    def test_a_stop_that_is_under_way_is_not_sent_again(self) -> None:
+        """Guards against reports that each add another stop order for every run that is stopped."""
+        sent = session(
+            self.calls, self.clock, lambda _: NoAnswer("unused"), stop=lambda *_: Accepted(0)
+        ).orders
+        with mock.patch("hornbeamfold.coordinator.orders.eventlet.spawn_n") as spawn:
+            for _ in range(3):
+                sent.stop(self.run_)
+            self.assertEqual(spawn.call_count, 1)
+            spawn.call_args.args[0]()
+            sent.stop(self.run_)
+            self.assertEqual(spawn.call_count, 2)
+
     def test_an_order_is_checked_again_before_it_is_sent(self) -> None:
         """Guards against starts on a worker that began to drain after the run was planned.
 
--- a/libs/coordinator/tests/test_starts.py
+++ b/libs/coordinator/tests/test_starts.py
@@ -1,9 +1,10 @@
 """Tests for the check of a recorded run before its start order is sent."""
 
 import unittest
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from types import MappingProxyType
+from unittest import mock
 
 from coordinator_cases import (
     CAPACITY,
@@ -26,7 +27,13 @@
 )
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.session import Session
-from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
+from hornbeamfold.coordinator.starts import (
+    MAX_PENDING_STARTS_PER_WORKER,
+    RunStarter,
+    StartDependencies,
+    max_pending_starts,
+)
+from hornbeamfold.scheduling import Assignment
 
 HALF = Resources(32_000, 128_000, 4)
 
@@ -35,6 +42,7 @@
     tracker: JobTracker,
     registry: Mapping[str, Worker],
     sessions: Mapping[str, Session] = MappingProxyType({}),
+    after_store: Callable[[Callable[[], None]], None] = lambda callback: None,
 ) -> RunStarter:
     """Return a starter that sends nothing."""
     return RunStarter(
@@ -43,7 +51,7 @@
             sessions,
             OperatorState,
             lambda: registry,
-            lambda callback: None,
+            after_store,
             lambda: True,
             lambda name, end: None,
             lambda: 0,
@@ -51,6 +59,77 @@
     )
 
 
+class PendingStartsTest(unittest.TestCase):
+    """Starts of a wide job on many workers, none of which has answered an order yet."""
+
+    def setUp(self) -> None:
+        self.workers = 40
+        tasks = 2 * self.workers * MAX_PENDING_STARTS_PER_WORKER
+        small = Resources(1, 1)
+        steps = (Step(tasks, small, 1_000), Step(tasks, small, 1_000, gang=True))
+        self.tracker = tracker_with(ManualClock(), job("wide", *steps), job("next", Step(1, small)))
+        self.sessions = {
+            f"w{index}": session(
+                RecordedCalls(), ManualClock(), lambda _: NoAnswer("unused"), worker_id=f"w{index}"
+            )
+            for index in range(self.workers)
+        }
+        self.stored: list[Callable[[], None]] = []
+        self.starter = starter(self.tracker, {}, self.sessions, self.stored.append)
+
+    def assignments(self, step: int = 0, workers: int = 40) -> list[Assignment]:
+        count = self.tracker.jobs["wide"].job.steps[step].count
+        return [
+            Assignment("wide", TaskRef(0, step, index), f"w{index % workers}", "test")
+            for index in range(count)
+            if self.tracker.jobs["wide"].task(TaskRef(0, step, index)).run == 0
+        ]
+
+    def begin(self, assignments: list[Assignment]) -> int:
+        """Begin runs; return how many were begun."""
+        before = len(self.tracker.runs)
+        self.starter.begin(assignments)
+        return len(self.tracker.runs) - before
+
+    def test_no_more_starts_are_begun_than_orders_can_be_sent(self) -> None:
+        """Guards against starts that are recorded and dropped for ever, as their orders expire.
+
+        Found by: review/4, LOST. 14,000 runs were recorded and none of them was started.
+        """
+        limit = max_pending_starts(1.0)
+        self.assertEqual(self.begin(self.assignments()), limit)
+        self.assertEqual(self.begin(self.assignments()), 0)
+        self.assertFalse(self.starter.wants_plan)
+        # Once the runs are stored, their orders are under way.
+        with mock.patch("hornbeamfold.coordinator.orders.eventlet.spawn_n"):
+            self.stored.pop()()
+        self.assertEqual(self.begin(self.assignments()), 0)
+
+    def test_a_plan_is_wanted_once_half_of_the_starts_are_done(self) -> None:
+        with mock.patch("hornbeamfold.coordinator.orders.eventlet.spawn_n"):
+            self.begin(self.assignments())
+            self.stored.pop()()
+        runs = tuple(self.tracker.runs.values())
+        for done, run in enumerate(runs, 1):
+            self.sessions[run.worker_id].orders.send_start(run, "{}")
+            self.assertEqual(self.starter.wants_plan, done * 2 >= len(runs))
+
+    def test_urgent_starts_wait_for_few_others_on_their_worker(self) -> None:
+        """Guards against an urgent order behind hundreds of those of a wide job."""
+        self.assertEqual(self.begin(self.assignments(workers=2)), 2 * MAX_PENDING_STARTS_PER_WORKER)
+
+    def test_the_first_in_the_queue_are_begun_first(self) -> None:
+        first = Assignment("next", TaskRef(0, 0, 0), "w0", "test")
+        self.begin([first, *self.assignments()])
+        self.assertEqual(len(self.tracker.runs_of("next")), 1)
+
+    def test_a_gang_is_begun_as_a_whole(self) -> None:
+        """Guards against gangs of which some members wait for the others."""
+        gang = self.assignments(step=1)
+        self.assertEqual(self.begin(gang), len(gang))
+        self.assertEqual(self.begin(self.assignments()), 0)
+
+
 class CapacityChangeTest(unittest.TestCase):
     def setUp(self) -> None:
         step = Step(3, HALF, 1_000)
