--- a/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
@@ -58,6 +58,12 @@
             if task.phase is TaskPhase.ACTIVE
         }
 
+    def has_unread_run(self, name: RunName) -> bool:
+        """Return whether a run is recorded as active, and its job is not yet in the replica."""
+        progress = self._recorded_progress.get(name.job_id)
+        task = progress.tasks.get(name.task) if progress is not None else None
+        return task is not None and task.phase is TaskPhase.ACTIVE and task.run == name.run
+
     def begin(self, progress_topic: TopicPort) -> bool:
         """Load the recorded progress and add all jobs; return whether the term continues."""
         if not self._load(progress_topic):
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -74,7 +74,8 @@
     orders: OrderHooks
     busy_wait_ms: Callable[[], int]  # how long a renewal waits at a worker that has runs
     on_report: Callable[["Session", LeaseReport, int], None]
-    on_ended: Callable[["Session", tuple[EndedTask, ...]], None]
+    # Returns how many of the ends, from the first, are known to be recorded with the next write.
+    on_ended: Callable[["Session", tuple[EndedTask, ...]], int]
     # All runs on incarnations born until then, a Unix time, are over.
     on_runs_lost: Callable[["Session", RunsLost, int], None]
     after_store: Callable[[Callable[[], None]], None]
@@ -317,7 +318,7 @@
         self._reported_ms = now
         self._hooks.on_report(self, report, sent_ms)
         if report.ended:
-            self._record_ends(report.ended)
+            self._record_ends(tuple(sorted(report.ended, key=lambda each: each.number)))
 
     def set_unknown_runs(self, count: int) -> None:
         """Set the number of runs on the worker that the job tracker does not have."""
@@ -325,8 +326,13 @@
 
     def _record_ends(self, ended: tuple[EndedTask, ...]) -> None:
         """Wait until the ends are stored, so that the next renewal acknowledges them."""
-        self._hooks.on_ended(self, ended)
-        last_number = max(each.number for each in ended)
+        taken = self._hooks.on_ended(self, ended)
+        if taken < len(ended):
+            # The worker answers the next renewal at once, as it has more ends.
+            eventlet.sleep(RETRY_MS / 1_000)
+        if not taken:
+            return
+        last_number = max(each.number for each in ended[:taken])
         born = self._worker.born_ms
         stored: Event = Event()
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -422,9 +422,25 @@
             self._tracker.jobs[straggler.name.job_id].avoid_worker(straggler.name.task, worker_id)
             self._stop_all((straggler.name,), straggler.reason)
 
-    def _on_ended(self, session: Session, ended: tuple[EndedTask, ...]) -> None:
+    def _on_ended(self, session: Session, ended: tuple[EndedTask, ...]) -> int:
+        """Record ends; return how many were taken, up to the first of a job that is not read yet.
+
+        That job would otherwise be read with a run whose end its worker has forgotten.
+        """
         worker_id = session.worker.worker_id
-        for each in ended:
+        for taken, each in enumerate(ended):
+            if self._intake.has_unread_run(each.name):
+                logger.info(
+                    "end_of_unread_job",
+                    extra={
+                        "request": each.name.job_id,
+                        "task": list(each.name.task),
+                        "run": each.name.run,
+                        "worker": worker_id,
+                        "end": each.end.value,
+                    },
+                )
+                return taken
             run = self._tracker.runs.get(each.name)
             if run is None or run.worker_id != worker_id:
                 continue
@@ -433,6 +449,7 @@
             if each.end is RunEnd.FAILED:
                 self._health.failed(worker_id, each.name.job_id)
             self._end_run(each.name, each.end, each.checkpoint)
+        return len(ended)
 
     def _on_start_done(self) -> None:
         if self._starter.wants_plan:
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -128,7 +128,7 @@
         ),
         busy_wait_ms=lambda: MIN_BUSY_RENEWAL_WAIT_MS,
         on_report=lambda session, report, sent_ms: calls.note("report", report),
-        on_ended=lambda session, ended: calls.note("ended", ended),
+        on_ended=lambda session, ended: (calls.note("ended", ended), len(ended))[1],
         on_runs_lost=lambda session, reason, born_ms: calls.note("runs lost", reason),
         after_store=lambda callback: callback(),
     )
