Soak: workers that refuse connections, and jobs whose ends come by the hundred

The soak's proxy accepted connections before it reset them, so no connection was ever refused, and its jobs had 7 tasks at most.

--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 replay: setup  ## Replay a recorded burst against the planner.
 	@$(PY) libs/coordinator/tests/load_replay.py $(or $(NAME),large-burst.json)
 
-soak: setup  ## Run a soak test with faults on the emulated platform: make soak SECONDS=60 [SEED=n] [INSTANCES=n] [WORKERS=n] [NEWER=1]
+soak: setup  ## Run a soak test with faults on the emulated platform: make soak SECONDS=60 [SEED=n] [INSTANCES=n] [WORKERS=n] [NEWER=1] [CUTS=1]
 	$(PY) -m hornbeamfold.soak --seconds $(SECONDS) --logs target/soak $(if $(SEED),--seed $(SEED)) \
 	  $(if $(INSTANCES),--instances $(INSTANCES)) $(if $(WORKERS),--workers $(WORKERS)) \
-	  $(if $(NEWER),--newer)
+	  $(if $(NEWER),--newer) $(if $(CUTS),--cuts)
--- a/libs/soak/src/hornbeamfold/soak/__main__.py
+++ b/libs/soak/src/hornbeamfold/soak/__main__.py
@@ -24,7 +24,13 @@
 from hornbeamfold.emulator.processes import is_ready, stop_all, wait_for  # noqa: E402
 from hornbeamfold.platform.http import HttpClient  # noqa: E402
 from hornbeamfold.soak.cluster import Cluster, ClusterSize  # noqa: E402
-from hornbeamfold.soak.faults import FAULTS, NEWER_FAULTS, SoakFault, Undo  # noqa: E402
+from hornbeamfold.soak.faults import (  # noqa: E402
+    CUT_FAULTS,
+    FAULTS,
+    NEWER_FAULTS,
+    SoakFault,
+    Undo,
+)
 from hornbeamfold.soak.load import LoadGenerator  # noqa: E402
 
 READY_TIMEOUT_S = 60.0
@@ -47,6 +53,7 @@
     cluster: Cluster,
     rng: Random,
     seconds: float,
+    faults: Sequence[SoakFault],
     newer: bool,
     counts: Counter[str],
 ) -> None:
@@ -54,7 +61,6 @@
 
     Newer runs have calm spells in between and at the end.
     """
-    faults: Sequence[SoakFault] = NEWER_FAULTS if newer else FAULTS
     pending_undos: list[Undo] = []
     end_ms = elapsed_ms() + int(seconds * 1_000)
 
@@ -90,8 +96,9 @@
     eventlet.sleep(CALM_SPELL_S)
 
 
-def _run_soak(cluster: Cluster, seconds: float, seed: int, newer: bool) -> None:
-    load = LoadGenerator(cluster, seed, newer)
+def _run_soak(cluster: Cluster, seconds: float, seed: int, newer: bool, cuts: bool) -> None:
+    load = LoadGenerator(cluster, seed, newer, wide=cuts)
+    faults = CUT_FAULTS if cuts else NEWER_FAULTS if newer else FAULTS
     counts: Counter[str] = Counter()
     http = HttpClient()
     if not wait_for(
@@ -104,7 +111,7 @@
     eventlet.spawn(cluster.watch_ready_work)
     if newer:
         eventlet.spawn(write_odd_entries, cluster.platform.store, Random(seed))
-    _inject_faults(cluster, Random(seed), seconds, newer, counts)
+    _inject_faults(cluster, Random(seed), seconds, faults, newer, counts)
     load.stop()
     wait_for(lambda: load.active_callers == 0, LAST_CALLS_TIMEOUT_S)
     wait_for(lambda: not load.unfinished_jobs(), JOB_COMPLETION_TIMEOUT_S)
@@ -134,6 +141,13 @@
     newer: Annotated[
         bool, Option("--newer", help="Add the newer faults and jobs, which recorded seeds lack.")
     ] = False,
+    cuts: Annotated[
+        bool,
+        Option(
+            "--cuts",
+            help="Only cuts of workers, outages of the store and takeovers, and wide jobs.",
+        ),
+    ] = False,
 ) -> None:
     """Run real instances under random faults; exit with 1 if a guarantee is violated."""
     chosen_seed = Random().randrange(MAX_SEED) if seed is None else seed
@@ -143,7 +157,7 @@
     with tempfile.TemporaryDirectory() as folder:
         cluster = Cluster(ClusterSize(instances, workers), chosen_seed, Path(folder))
         try:
-            _run_soak(cluster, seconds, chosen_seed, newer)
+            _run_soak(cluster, seconds, chosen_seed, newer, cuts)
         finally:
             stop_all([instance.process for instance in cluster.instances])
         violations = cluster.violation_log.violations
--- a/libs/soak/src/hornbeamfold/soak/faults.py
+++ b/libs/soak/src/hornbeamfold/soak/faults.py
@@ -15,6 +15,10 @@
 
 # A draining worker leaves this long after it has reported that it drains.
 DRAIN_DURATION_S = 3.0
+# A worker that finishes its runs before it leaves says that it stays for this long, and is cut off
+# once that is known.
+LONG_DRAIN_MS = 20_000
+DRAIN_NOTICE_S = 0.7
 # Response time of a slow store: more than 60 times the usual 4 ms.
 SLOW_STORE_MS = 250
 LATE_EXECUTION_MS = 3_000
@@ -280,6 +284,44 @@
     return lambda: cluster.run_after(DRAIN_DURATION_S, lambda: _restart_worker(cluster, emulated))
 
 
+def refuse_connections(cluster: Cluster, rng: Random) -> Undo | None:
+    """Cut workers off with resets and refused connections; they run on."""
+    chosen = [link for link, _ in random_worker_links(cluster, rng) if not link.shut]
+    for link in chosen:
+        link.shut_down()
+
+    def undo() -> None:
+        for link in chosen:
+            link.reopen()
+
+    return undo if chosen else None
+
+
+def cut_off_leaving_worker(cluster: Cluster, rng: Random) -> Undo | None:
+    """Drain a worker, and cut it off with refused connections while it finishes its runs."""
+    busy = [
+        emulated
+        for _, emulated in sorted(cluster.platform.fleet.workers.items())
+        if emulated.run_names and not emulated.worker.draining
+    ]
+    if not busy or len(cluster.platform.fleet.workers) < len(cluster.worker_links) - 2:
+        return None
+    emulated = rng.choice(busy)
+    worker = emulated.worker
+    link = cluster.worker_links[worker.worker_id]
+    emulated.update_description(draining=True, drain_remaining_ms=LONG_DRAIN_MS)
+    cluster.platform.report_workers()
+    cluster.checker.on_worker_draining(worker)
+    cluster.run_after(DRAIN_NOTICE_S, link.shut_down)
+
+    def undo() -> None:
+        link.reopen()
+        cluster.run_after(DRAIN_DURATION_S, lambda: cluster.platform.fleet.remove(worker.worker_id))
+        cluster.run_after(2 * DRAIN_DURATION_S, lambda: _restart_worker(cluster, emulated))
+
+    return undo
+
+
 def shrink_worker(cluster: Cluster, rng: Random) -> Undo | None:
     """Shrink the capacity of a worker, possibly below what it runs; undoing restores it."""
     fleet = cluster.platform.fleet
@@ -382,3 +424,22 @@
     *FAULTS,
     *[SoakFault("worker shrinks", shrink_worker)] * SHRINK_WEIGHT,
 )
+
+# Workers that are cut off while they run on, ends that gather while the store is away, takeovers.
+CUT_FAULTS: tuple[SoakFault, ...] = (
+    *[SoakFault("workers refuse connections", refuse_connections)] * 3,
+    *[SoakFault("leaving worker refuses connections", cut_off_leaving_worker)] * 4,
+    *[SoakFault("store down", store_fault(down=True))] * 3,
+    *[SoakFault("store silent", store_fault(silent=True))] * 2,
+    SoakFault("store loses answers", store_fault(lost=True, share=0.35)),
+    SoakFault("store writes late", store_fault(late_ms=LATE_EXECUTION_MS, share=0.35)),
+    SoakFault("store drops its history", trim_store),
+    SoakFault("coordinator cut from the store", link_fault(coordinator_store_link, PARTITIONED)),
+    *[SoakFault("kill the coordinator", kill(coordinator=True))] * 2,
+    SoakFault("pause the coordinator", pause(coordinator=True)),
+    SoakFault("answers of workers held", link_fault(random_worker_links, ANSWERS_HELD)),
+    SoakFault("connections to workers reset", link_action(random_worker_links, Link.reset)),
+    SoakFault("orders carried out late", worker_fault(WorkerFaults(late_ms=LATE_EXECUTION_MS))),
+    SoakFault("worker reborn", crash_and_restart_worker),
+    SoakFault("worker drains", drain_worker),
+)
--- a/libs/soak/src/hornbeamfold/soak/load.py
+++ b/libs/soak/src/hornbeamfold/soak/load.py
@@ -40,6 +40,10 @@
 LOCAL_RUN_MS = (3_000, 8_000)
 # By default the last rack has one worker, so that it is often full.
 RACKS = ("r-1", "r-2", "r-2")
+# Jobs whose ends come by the hundred.
+WIDE_TASKS = (40, 300)
+WIDE_RUN_MS = (1_000, 5_000)
+WIDE_SUBMIT_INTERVAL_S = (1.5, 4.0)
 # Just below the workers' bound of 200 ms.
 SLOW_STOP_MS = 180
 REFUSAL_STATUSES = frozenset({400, 401, 404, 429, 503})
@@ -114,6 +118,16 @@
     return job, batch_document(payload, [declared_step(step, run_ms)])
 
 
+def wide_job(rng: Random, job_id: str) -> tuple[SubmittedJob, dict[str, Any]]:
+    """Return a job of many small tasks that end at about the same time, and its submission."""
+    queue = rng.choice(sorted(MAX_ATTEMPTS_BY_QUEUE))
+    run_ms = rng.randint(*WIDE_RUN_MS)
+    step = SubmittedStep(rng.randint(*WIDE_TASKS), Resources(100, 256, 0))
+    payload = msgspec.json.encode({"run_ms": run_ms}).decode()
+    job = SubmittedJob(job_id, f"/{queue}/{job_id}", payload, (step,), MAX_ATTEMPTS_BY_QUEUE[queue])
+    return job, batch_document(payload, [declared_step(step, run_ms)])
+
+
 def declared_step(step: SubmittedStep, estimate_ms: int) -> Step:
     """Return the declaration of a step in a submission."""
     return Step(
@@ -131,9 +145,12 @@
 class LoadGenerator:
     """Callers that keep their connections open until the instance's process exits."""
 
-    def __init__(self, cluster: Cluster, seed: int, newer: bool = False) -> None:
+    def __init__(
+        self, cluster: Cluster, seed: int, newer: bool = False, wide: bool = False
+    ) -> None:
         self._cluster = cluster
         self._newer = newer
+        self._wide = wide
         self._seed = seed
         self._rng = Random(seed)
         self._last_job_number = 0
@@ -175,6 +192,11 @@
                 NEWER_SUBMIT_INTERVAL_S,
             )
 
+        if self._wide:
+            eventlet.spawn(
+                self._submit_loop, Random(self._rng.random()), wide_job, WIDE_SUBMIT_INTERVAL_S
+            )
+
     def stop(self) -> None:
         """Submit no more jobs and cancel long-running ones; polling goes on."""
         self._submitting = False
--- a/libs/soak/src/hornbeamfold/soak/proxy.py
+++ b/libs/soak/src/hornbeamfold/soak/proxy.py
@@ -11,6 +11,7 @@
 from eventlet.greenthread import GreenThread
 
 RECEIVE_BUFFER_BYTES = 65_536
+BACKLOG = 256
 # How often a blocked direction checks whether it may forward again.
 BLOCKED_POLL_INTERVAL_S = 0.02
 CLOSED_FILENO = -1
@@ -91,8 +92,9 @@
         self._target = target
         self._fault = NO_LINK_FAULT
         self._connections: set[_Connection] = set()
-        self._listener = eventlet.listen(("127.0.0.1", 0), backlog=256)
-        eventlet.spawn(self._accept)
+        self._listener = eventlet.listen(("127.0.0.1", 0), backlog=BACKLOG)
+        self._acceptor = eventlet.spawn(self._accept)
+        self._port_holder: socket.socket | None = None
 
     @property
     def name(self) -> str:
@@ -102,7 +104,7 @@
     @property
     def address(self) -> str:
         """The listening address, as "ip:port"."""
-        host, port = self._listener.getsockname()[:2]
+        host, port = (self._port_holder or self._listener).getsockname()[:2]
         return f"{host}:{port}"
 
     @property
@@ -124,6 +126,34 @@
         for connection in self._connections:
             connection.silence()
 
+    @property
+    def shut(self) -> bool:
+        """Whether new connections are refused."""
+        return self._port_holder is not None
+
+    def shut_down(self) -> None:
+        """Reset all open connections and refuse new ones, as if no process listened."""
+        if self.shut:
+            return
+        host, port = self._listener.getsockname()[:2]
+        self._acceptor.kill()
+        self._listener.close()
+        self.reset()
+        # A bound socket that does not listen keeps the port until the link is reopened.
+        self._port_holder = socket.socket()
+        self._port_holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._port_holder.bind((host, port))
+
+    def reopen(self) -> None:
+        """Accept connections again after `shut_down`."""
+        if self._port_holder is None:
+            return
+        address = self._port_holder.getsockname()[:2]
+        self._port_holder.close()
+        self._port_holder = None
+        self._listener = eventlet.listen(address, backlog=BACKLOG)
+        self._acceptor = eventlet.spawn(self._accept)
+
     def _accept(self) -> None:
         while True:
             caller, _ = self._listener.accept()
--- a/libs/soak/tests/test_proxy.py
+++ b/libs/soak/tests/test_proxy.py
@@ -58,6 +58,17 @@
 print("reset", ask(other))
 link.set_fault(LinkFault(refuse=True))
 print("refused", ask(connect()))
+link.set_fault(NO_LINK_FAULT)
+address, old = link.address, connect()
+ask(old)
+link.shut_down()
+print("shut", ask(old))
+try:
+    connect()
+except ConnectionRefusedError:
+    print("nothing listens")
+link.reopen()
+print("reopened", ask(connect()), link.address == address)
 """
 
 
@@ -78,6 +89,9 @@
             "new b'x'",
             "reset b'ended'",
             "refused b'ended'",
+            "shut b'ended'",
+            "nothing listens",
+            "reopened b'x' True",
         ]
         self.assertEqual(done.stdout.splitlines(), expected, done.stderr)
 
--- a/libs/soak/tests/test_soak.py
+++ b/libs/soak/tests/test_soak.py
@@ -47,6 +47,13 @@
         """Guards against a step that waits for its rack over 3 s while other racks are idle."""
         self.check_seed(554, 20, 4, "--newer")
 
+    def test_cuts_seed_2(self) -> None:
+        """Guards against second runs of tasks on a leaving worker that refuses connections.
+
+        33 tasks ran again after a takeover with the store down.
+        """
+        self.check_seed(2, 25, 4, "--cuts")
+
     def check_seed(self, seed: int, seconds: int, instances: int, *options: str) -> None:
         """Fail if any guarantee is violated."""
         done = self.soak("--seed", seed, "--seconds", seconds, "--instances", instances, *options)
