Split the handling of workers' reports from Term

The reports are in coordinator.reports now, without a change of what they do; their log line end_of_unread_job comes from that logger.

--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -9,10 +9,8 @@
 from hornbeamfold.batch import (
     Bounds,
     Clock,
-    EndedTask,
     JobState,
     KeyedRecord,
-    LeaseReport,
     OperatorState,
     Refusal,
     RunEnd,
@@ -30,6 +28,7 @@
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.orders import OrderHooks
 from hornbeamfold.coordinator.planner_inputs import PlacedRuns, candidate_workers, ready_steps
+from hornbeamfold.coordinator.reports import ReportDependencies, WorkerReports
 from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
@@ -41,7 +40,6 @@
     lease_ms,
 )
 from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
-from hornbeamfold.coordinator.stragglers import runs_outlasting_drain, straggling_runs
 from hornbeamfold.coordinator.wait_log import WaitLog
 from hornbeamfold.ledger import (
     CoordinatorRecord,
@@ -61,9 +59,6 @@
 # The pause after a pass as a multiple of its duration. On a slow or busy processor, at least two
 # thirds of the time are left to heartbeats, lease renewals and orders.
 PASS_GAP_RATIO = 2
-# The members of a gang end together. One that is still listed in a report that was requested this
-# long after the end of another is stopped.
-GANG_END_MS = 500
 # Refusals that the next order to the same worker would get as well.
 REFUSALS_OF_WORKERS = frozenset(
     {Refusal.UNHEALTHY, Refusal.UNREACHABLE, Refusal.NO_ROOM, Refusal.GONE}
@@ -113,7 +108,6 @@
         self._losses = RunLosses(
             self._tracker, LossHooks(self._end_run, self._stop_all), deps.clock
         )
-        self._reported_workers: set[str] = set()
         self._sessions: dict[str, Session] = {}
         self._active = True
         self._planning = True
@@ -165,6 +159,19 @@
                 deps.cores,
             )
         )
+        reports = WorkerReports(
+            ReportDependencies(
+                self._tracker,
+                self._losses,
+                self._health,
+                self._unread_runs,
+                self._intake.has_unread_run,
+                self._end_run,
+                self._stop_all,
+                self._notify,
+                deps.clock,
+            )
+        )
         orders = OrderHooks(
             is_active=lambda: self._active,
             state_confirmed_ms=deps.state_confirmed_ms,
@@ -180,8 +187,8 @@
         self._hooks = SessionHooks(
             orders=orders,
             busy_wait_ms=lambda: busy_renewal_wait_ms(len(self._sessions), deps.cores),
-            on_report=self._on_report,
-            on_ended=self._on_ended,
+            on_report=reports.on_report,
+            on_ended=reports.on_ended,
             on_runs_lost=self._losses.end_all,
             after_store=self._journal.after_store,
         )
@@ -371,86 +378,6 @@
                 continue
             self._losses.end_orphan(run, self._registry_is_current())
 
-    def _on_report(self, session: Session, report: LeaseReport, sent_ms: int) -> None:
-        """Reconcile the runs that a worker reports with the job tracker."""
-        worker = session.worker
-        self._losses.review(session)
-        reported: set[RunName] = set()
-        unread = self._unread_runs()
-        unknown = 0
-        for task in report.running:
-            reported.add(task.name)
-            run = self._tracker.runs.get(task.name)
-            if run is None or run.worker_id != worker.worker_id:
-                unknown += 1
-                if task.name not in unread:
-                    session.orders.stop_unknown_run(task.name)
-                continue
-            self._tracker.settle(task.name)
-            self._tracker.set_incarnation(task.name, worker.born_ms)
-            self._tracker.update_progress(task)
-            if run.gang_done_ms is not None and sent_ms > run.gang_done_ms + GANG_END_MS:
-                self._stop_all((run.name,), "gang is done")
-        session.set_unknown_runs(unknown)
-        reported.update(each.name for each in report.ended)
-        for run in self._tracker.runs_on(worker.worker_id):
-            if run.name in reported:
-                if run.stop_reason:
-                    session.orders.stop(run)
-                continue
-            if run.settled_ms is None or run.settled_ms >= sent_ms:
-                continue
-            # The end of the run may come later in the list.
-            if not report.more_ends:
-                self._losses.end(session, run)
-        self._stop_stragglers(worker.worker_id)
-        for leaving in runs_outlasting_drain(
-            self._tracker, self._tracker.runs_on(worker.worker_id), worker, self._deps.clock()
-        ):
-            self._stop_all((leaving.name,), leaving.reason)
-        if worker.worker_id not in self._reported_workers:
-            self._reported_workers.add(worker.worker_id)
-            self._notify()
-
-    def _stop_stragglers(self, worker_id: str) -> None:
-        """Stop straggling runs; their tasks are placed again once the runs have ended."""
-        runs = self._tracker.runs_on(worker_id)
-        for straggler in straggling_runs(self._tracker, runs, self._deps.clock()):
-            # Any member may hold up its gang, so a slow gang is no evidence against this worker.
-            if not self._tracker.is_gang_member(straggler.name):
-                self._health.exclude(worker_id, straggler.reason)
-            self._tracker.jobs[straggler.name.job_id].avoid_worker(straggler.name.task, worker_id)
-            self._stop_all((straggler.name,), straggler.reason)
-
-    def _on_ended(self, session: Session, ended: tuple[EndedTask, ...]) -> int:
-        """Record ends; return how many were taken, up to the first of a job that is not read yet.
-
-        That job would otherwise be read with a run whose end its worker has forgotten.
-        """
-        worker_id = session.worker.worker_id
-        for taken, each in enumerate(ended):
-            if self._intake.has_unread_run(each.name):
-                logger.info(
-                    "end_of_unread_job",
-                    extra={
-                        "request": each.name.job_id,
-                        "task": list(each.name.task),
-                        "run": each.name.run,
-                        "worker": worker_id,
-                        "end": each.end.value,
-                    },
-                )
-                return taken
-            run = self._tracker.runs.get(each.name)
-            if run is None or run.worker_id != worker_id:
-                continue
-            if each.end is RunEnd.DONE:
-                self._health.succeeded(worker_id)
-            if each.end is RunEnd.FAILED:
-                self._health.failed(worker_id, each.name.job_id)
-            self._end_run(each.name, each.end, each.checkpoint)
-        return len(ended)
-
     def _on_start_done(self) -> None:
         if self._starter.wants_plan:
             self._notify()
