Withdraw only the crash that was counted for a loss

A run on a leaving worker whose entry was gone counted for nothing, but was kept for review as if it had been counted without evidence, so hearing of that worker withdrew the crash of another one. Found when reading the change. What a review may withdraw is now taken from how the run ended. test_a_withdrawal_is_only_of_what_was_counted failed before.

--- a/libs/coordinator/src/hornbeamfold/coordinator/run_losses.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/run_losses.py
@@ -73,13 +73,15 @@
                 "requests": sorted({run.name.job_id for run in runs}),
             },
         )
-        if reason is RunsLost.LEASE_EXPIRED:
-            self._keep_open(worker_id, runs, not session.registered)
+        self._drop_old()
+        suspects = self._suspects(run.name for run in runs)
         for run in runs:
-            self.end(session, run, reason)
+            end = self.end(session, run, reason)
+            if reason is RunsLost.LEASE_EXPIRED and run.incarnation == session.worker.born_ms:
+                self._keep_open(run, suspects, end)
 
-    def end(self, session: Session, run: Run, lost: RunsLost | None = None) -> None:
-        """End a run that its worker no longer has and whose end was not reported."""
+    def end(self, session: Session, run: Run, lost: RunsLost | None = None) -> RunEnd:
+        """End a run that its worker no longer has and whose end was not reported; return how."""
         end = RunEnd.LOST
         if run.incarnation is not None and run.holding > Holding.NONE:
             end = session.lost_run_end(run.incarnation, lost)
@@ -88,13 +90,14 @@
             if not self._is_evident(run.name, run.worker_id, suspects, run.holding):
                 end = RunEnd.WORKER_VANISHED
         self._hooks.end_run(run.name, end)
+        return end
 
     def end_orphan(self, run: Run, entry_gone: bool) -> None:
         """End a run of a former coordinator on a worker that this one has never seen."""
         vanished = entry_gone and run.incarnation is not None
-        if vanished:
-            self._keep_open(run.worker_id, (run,), counted=True)
-        self._hooks.end_run(run.name, RunEnd.WORKER_VANISHED if vanished else RunEnd.LOST)
+        end = RunEnd.WORKER_VANISHED if vanished else RunEnd.LOST
+        self._keep_open(run, self._suspects((run.name,)), end)
+        self._hooks.end_run(run.name, end)
 
     def review(self, session: Session) -> None:
         """Decide the open losses of a worker that has reported: it was cut off, or it crashed."""
@@ -117,22 +120,32 @@
             )
             self._hooks.stop_runs(stopped, "job ended")
 
-    def _keep_open(self, worker_id: str, runs: Sequence[Run], counted: bool) -> None:
-        now = self._clock()
+    def _keep_open(self, run: Run, suspects: frozenset[SuspectKey], end: RunEnd) -> None:
+        """Keep a loss for review, unless the worker cannot have had the run.
+
+        `suspects` are the tasks and gangs that the worker was lost with.
+        """
+        if run.incarnation is None or run.holding is Holding.NONE:
+            return
+        loss = OpenLoss(
+            run.name,
+            run.incarnation,
+            self._clock(),
+            alone=suspects == {self._tracker.suspect_key(run.name)},
+            certain=run.holding is Holding.CERTAIN,
+            counted=end is RunEnd.WORKER_VANISHED,
+        )
+        self._open.setdefault(run.worker_id, []).append(loss)
+
+    def _drop_old(self) -> None:
+        """Drop losses whose workers have not been heard of for long."""
+        now_ms = self._clock()
         for each, losses in tuple(self._open.items()):
-            recent = [loss for loss in losses if now - loss.lost_ms <= REVIEW_TIMEOUT_MS]
+            recent = [loss for loss in losses if now_ms - loss.lost_ms <= REVIEW_TIMEOUT_MS]
             if recent:
                 self._open[each] = recent
             else:
                 del self._open[each]
-        for run in runs:
-            if run.incarnation is None or run.holding is Holding.NONE:
-                continue
-            key = self._tracker.suspect_key(run.name)
-            alone = all(self._tracker.suspect_key(each.name) == key for each in runs)
-            certain = run.holding is Holding.CERTAIN
-            loss = OpenLoss(run.name, run.incarnation, now, alone, certain, counted)
-            self._open.setdefault(worker_id, []).append(loss)
 
     def _suspects(self, names: Iterable[RunName]) -> frozenset[SuspectKey]:
         return frozenset(self._tracker.suspect_key(name) for name in names)
--- a/libs/coordinator/tests/test_run_losses.py
+++ b/libs/coordinator/tests/test_run_losses.py
@@ -87,6 +87,15 @@
         self.hear_of(with_worker, born_ms=2)
         self.assertEqual(self.crashes(), (0, 0))
 
+    def test_a_withdrawal_is_only_of_what_was_counted(self) -> None:
+        """Guards against a crash that is withdrawn as another worker, which left, is heard of."""
+        self.lose(self.begin("w1"), registered=False)
+        leaving = self.begin("w2")
+        leaving.update(replace(leaving.worker, draining=True))
+        self.lose(leaving, registered=False)
+        self.hear_of(leaving, born_ms=1)
+        self.assertEqual(self.crashes(), (0, 1))
+
     def test_a_loss_that_is_reviewed_late_counts_no_more(self) -> None:
         with_worker = self.begin("w1")
         self.lose(with_worker, registered=True)
