Let starts wait neither for unanswered stops nor for workers that are cut off

A stop order kept one of the six slots of its worker until it was answered, for as long as the worker was silent, so starts waited behind six of them; and since the starts under way are limited, those to workers that are cut off used up the limit, up to a service that starts nothing until their leases expire.

A slot is taken for each attempt of a stop, and starts to workers whose last renewal was not answered do not count. Both tests failed before: a start behind twelve unanswered stops was not tried, and nothing more was begun beside cut workers.

--- a/libs/coordinator/src/hornbeamfold/coordinator/orders.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/orders.py
@@ -71,7 +71,7 @@
 
 
 class Orders:
-    """Sends the orders to one worker, each in its own green thread, with limited concurrency."""
+    """Sends the orders to one worker, each in its own green thread, a few at a time."""
 
     def __init__(
         self,
@@ -100,19 +100,13 @@
     def start(self, run: Run, payload: str) -> None:
         """Send a start order in the background."""
         self._pending_starts.add(run.name)
-        self._spawn(lambda: self.send_start(run, payload))
-
-    def _spawn(self, order: Callable[[], None]) -> None:
-        def limited() -> None:
-            with self._slots:
-                order()
-
-        eventlet.spawn_n(log_exceptions(limited))
+        eventlet.spawn_n(log_exceptions(self.send_start), run, payload)
 
     def send_start(self, run: Run, payload: str) -> None:
         """Send a start order and report its outcome through the hooks."""
         try:
-            outcome_known = self._attempt_start(run, payload)
+            with self._slots:
+                outcome_known = self._attempt_start(run, payload)
         finally:
             self._pending_starts.discard(run.name)
             self._hooks.on_start_done()
@@ -214,7 +208,7 @@
             finally:
                 self._pending_stops.discard(run.name)
 
-        self._spawn(stop)
+        eventlet.spawn_n(log_exceptions(stop))
 
     def _stop_until_answered(self, run: Run, reason: str) -> None:
         attempts = 0
@@ -248,12 +242,14 @@
 
     def stop_unknown_run(self, name: RunName) -> None:
         """Stop a run that the worker lists and the job tracker does not have."""
-        self._spawn(lambda: self._stop_once(name))
+        eventlet.spawn_n(log_exceptions(self._stop_once), name)
 
     def _send_stop_once(self, name: RunName) -> OrderOutcome:
-        worker = self._link.worker()
         order = StopOrder(name, self._token)
-        return _outcome_of(lambda: self._port.stop(worker, order), name, worker)
+        # The slot is not kept between two attempts: starts must not wait for a stop to be answered.
+        with self._slots:
+            worker = self._link.worker()
+            return _outcome_of(lambda: self._port.stop(worker, order), name, worker)
 
     def _stop_once(self, name: RunName) -> None:
         outcome = self._send_stop_once(name)
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -161,6 +161,11 @@
             and self._clock() - self._reported_ms < REACHABILITY_TIMEOUT_MS
         )
 
+    @property
+    def connected(self) -> bool:
+        """Whether the last renewal was answered."""
+        return not self._disconnected
+
     @property
     def lease_until_ms(self) -> int:
         """The time by which all runs on the worker have ended if no renewal reaches it."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -57,8 +57,11 @@
         return self._deferred and self._pending() <= self._max_pending // 2
 
     def _pending(self) -> int:
-        orders = (session.orders.pending_starts for session in self._deps.sessions.values())
-        return self._unstored + sum(orders)
+        """Return how many starts are under way; those to workers that are cut off hold up none."""
+        sessions = self._deps.sessions.values()
+        return self._unstored + sum(
+            session.orders.pending_starts for session in sessions if session.connected
+        )
 
     def begin(self, assignments: Iterable[Assignment]) -> None:
         """Record runs for the assigned tasks and send the start orders once they are stored.
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -1,12 +1,24 @@
 """Tests for worker sessions and orders."""
 
 import unittest
+import warnings
 from dataclasses import replace
 from unittest import mock
 
-from coordinator_cases import BOUNDS, ManualClock, RecordedCalls, job, session, tracker_with, worker
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+from coordinator_cases import (  # noqa: E402
+    BOUNDS,
+    ManualClock,
+    RecordedCalls,
+    job,
+    session,
+    tracker_with,
+    worker,
+)
 
-from hornbeamfold.batch import (
+from hornbeamfold.batch import (  # noqa: E402
     Accepted,
     EndedTask,
     LeaseRenewal,
@@ -14,13 +26,16 @@
     NoAnswer,
     Refusal,
     Refused,
+    Resources,
     RunEnd,
     RunName,
     RunningTask,
     StartOrder,
+    Step,
     TaskRef,
 )
-from hornbeamfold.coordinator.session import (
+from hornbeamfold.coordinator.orders import MAX_CONCURRENT_ORDERS  # noqa: E402
+from hornbeamfold.coordinator.session import (  # noqa: E402
     MAX_RENEWAL_STATE_AGE_MS,
     MIN_CLOCK_RATE,
     RunsLost,
@@ -413,6 +428,29 @@
             sent.stop(self.run_)
             self.assertEqual(spawn.call_count, 2)
 
+    def test_a_start_does_not_wait_for_stops_that_are_not_answered(self) -> None:
+        """Guards against starts behind the stops of a worker that answers only some orders."""
+        refs = [TaskRef(0, 0, index) for index in range(2 * MAX_CONCURRENT_ORDERS)]
+        tracker = tracker_with(self.clock, job("b", Step(len(refs), Resources(1, 1))))
+        runs = tracker.begin_runs("b", refs, [worker() for _ in refs])
+        asked: list[object] = []
+
+        def stop(*_: object) -> NoAnswer:
+            asked.append(None)
+            eventlet.sleep(0.01)
+            return NoAnswer("timeout")
+
+        orders = session(self.calls, self.clock, lambda _: NoAnswer("unused"), stop=stop).orders
+        for run in runs:
+            orders.stop(run)
+        orders.start(self.run_, "{}")
+        eventlet.sleep(0.15)
+        self.assertGreaterEqual(len(asked), len(runs))
+        # The worker has not reported yet, so the order is given up without being sent.
+        self.assertEqual(self.calls.named("not started"), [Refusal.TOO_LATE])
+        self.calls.end()
+        eventlet.sleep(0.3)
+
     def test_an_order_is_checked_again_before_it_is_sent(self) -> None:
         """Guards against starts on a worker that began to drain after the run was planned.
 
--- a/libs/coordinator/tests/test_starts.py
+++ b/libs/coordinator/tests/test_starts.py
@@ -114,6 +114,16 @@
             self.sessions[run.worker_id].orders.send_start(run, "{}")
             self.assertEqual(self.starter.wants_plan, done * 2 >= len(runs))
 
+    def test_starts_to_workers_that_are_cut_off_hold_up_no_others(self) -> None:
+        """Guards against a service that stands still until the leases of such workers expire."""
+        with mock.patch("hornbeamfold.coordinator.orders.eventlet.spawn_n"):
+            self.begin(self.assignments())
+            self.stored.pop()()
+        self.assertEqual(self.begin(self.assignments()), 0)
+        for each in self.sessions.values():
+            each._note_disconnected("timeout")
+        self.assertGreater(self.begin(self.assignments()), 0)
+
     def test_urgent_starts_wait_for_few_others_on_their_worker(self) -> None:
         """Guards against an urgent order behind hundreds of those of a wide job."""
         self.assertEqual(self.begin(self.assignments(workers=2)), 2 * MAX_PENDING_STARTS_PER_WORKER)
