--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -80,8 +80,9 @@
 class Deployment:
     """Instances of the project as processes, with the commands of the deploy file."""
 
-    def __init__(self, record: Record, instances: int) -> None:
+    def __init__(self, record: Record, instances: int, cores: float = 1.074) -> None:
         self.record = record
+        self._cores = cores
         self.store = Store()
         self.workers: list[Worker] = []
         self._folder = Path(tempfile.mkdtemp(prefix="case-"))
@@ -141,60 +142,78 @@
         self._held_ports.append(held)
         return int(held.getsockname()[1])
 
-    def start(self) -> None:
-        """Start all instances and wait until they are ready and a job can be run."""
+    def _write_settings(self, index: int) -> None:
+        """Write the settings file of an instance, as the platform does."""
+        zone = list(ZONES)[index % len(ZONES)]
+        front, ready, internal = (self._free_port() for _ in range(3))
+        settings = {
+            "node": f"edge-{zone}-{index + 1}",
+            "role": "gateway",
+            "machine_class": "edge",
+            "serves": ["edge"],
+            "ip": "127.0.0.1",
+            "zone": zone,
+            "region": ZONES[zone],
+            "zones": ZONES,
+            "listen_addresses": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "internal_port_range": [internal, internal],
+            "seeds": [],
+            "bootstrap": True,
+            "limits": {"cpu_share": self._cores / 2, "cores": 2, "memory_mb": 300},
+            "data_directory": None,
+            "heartbeat_interval_ms": 1_500,
+            "bounds": BOUNDS,
+            "control_mode": "call",
+            "platform": {
+                "address": self._store_address,
+                "form": "log",
+                "record_bytes": 262_144,
+                "call_bytes": 2_097_152,
+                "keep_s": 300,
+            },
+        }
+        path = self._folder / f"{settings['node']}.yaml"
+        # JSON is YAML as well.
+        path.write_text(json.dumps(settings))
+        self._settings.append(path)
+        self.fronts.append(settings["listen_addresses"]["front"])
+        self._readiness.append(settings["listen_addresses"]["ready"])
+
+    def _launch(self, index: int) -> subprocess.Popen:
+        """Start an instance with the command of the deploy file."""
+        path = self._settings[index]
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-        command = shlex.split(deploy["roles"]["gateway"]["run"])
+        environ = {
+            **{name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ},
+            "HORNBEAMFOLD_BOOT": str(path),
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+        with path.with_suffix(".log").open("ab") as log:
+            process = subprocess.Popen(
+                shlex.split(deploy["roles"]["gateway"]["run"]),
+                cwd=ROOT,
+                env=environ,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self.record.write(f"started {path.stem} as process {process.pid}")
+        return process
+
+    def restart(self, index: int) -> None:
+        """Start an instance again, after its process has ended."""
+        self._processes[index].wait()
+        self._processes[index] = self._launch(index)
+
+    def start(self) -> None:
+        """Start all instances and wait until they are ready."""
         for index in range(self._instances):
-            zone = list(ZONES)[index % len(ZONES)]
-            front, ready, internal = (self._free_port() for _ in range(3))
-            settings = {
-                "node": f"edge-{zone}-{index + 1}",
-                "role": "gateway",
-                "machine_class": "edge",
-                "serves": ["edge"],
-                "ip": "127.0.0.1",
-                "zone": zone,
-                "region": ZONES[zone],
-                "zones": ZONES,
-                "listen_addresses": {
-                    "front": f"127.0.0.1:{front}",
-                    "ready": f"127.0.0.1:{ready}",
-                },
-                "internal_port_range": [internal, internal],
-                "seeds": [],
-                "bootstrap": True,
-                "limits": {"cpu_share": 0.537, "cores": 2, "memory_mb": 300},
-                "data_directory": None,
-                "heartbeat_interval_ms": 1_500,
-                "bounds": BOUNDS,
-                "control_mode": "call",
-                "platform": {
-                    "address": self._store_address,
-                    "form": "log",
-                    "record_bytes": 262_144,
-                    "call_bytes": 2_097_152,
-                    "keep_s": 300,
-                },
-            }
-            path = self._folder / f"{settings['node']}.yaml"
-            # JSON is YAML as well.
-            path.write_text(json.dumps(settings))
-            self._settings.append(path)
-            self.fronts.append(settings["listen_addresses"]["front"])
-            self._readiness.append(settings["listen_addresses"]["ready"])
-            environ = {
-                **{name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ},
-                "HORNBEAMFOLD_BOOT": str(path),
-                "PYTHONPATH": str(ROOT / "target" / "deps"),
-                "PYTHONDONTWRITEBYTECODE": "1",
-            }
-            with path.with_suffix(".log").open("wb") as log:
-                process = subprocess.Popen(
-                    command, cwd=ROOT, env=environ, stdout=log, stderr=subprocess.STDOUT
-                )
-            self._processes.append(process)
-            self.record.write(f"started {settings['node']} as process {process.pid}")
+            self._write_settings(index)
+            self._processes.append(self._launch(index))
+        self.wait_ready()
+
+    def wait_ready(self) -> None:
+        """Wait until all instances are ready."""
         deadline = time.monotonic() + 30
         while not all(self._is_ready(address) for address in self._readiness):
             if time.monotonic() > deadline:
@@ -245,12 +264,20 @@
             self.record.write(f"{method} {path} {data or ''}: {status} {text.decode()}")
         return status, json.loads(text or b"{}")
 
-    def submit(self, queue: str, job_id: str, work: dict, steps: list[dict], **more: object) -> int:
-        """Hand a job in, at another instance after each answer that leaves it open."""
+    def submit(
+        self,
+        queue: str,
+        job_id: str,
+        work: dict,
+        steps: list[dict],
+        first: int = 0,
+        **more: object,
+    ) -> int:
+        """Hand a job in; after an answer that leaves it open, do so again at another instance."""
         body = {"specification": json.dumps(work), "steps": steps, **more}
         status: int | None = None
         for attempt in range(6):
-            instance = attempt % len(self.fronts)
+            instance = (first + attempt) % len(self.fronts)
             status, _ = self.call("POST", f"/{queue}/{job_id}", body, instance)
             if status is not None and status not in (502, 503, 504):
                 break
@@ -283,12 +310,13 @@
     folder: Path,
     instances: int,
     case: Callable[[Deployment, bool], str],
+    cores: float = 1.074,
 ) -> None:
     """Run a case; `case` returns what breaks the rule, or nothing if it held. Ends the process."""
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"the case runs {'with' if trouble else 'without'} the disruption")
-    deployment = Deployment(record, instances)
+    deployment = Deployment(record, instances, cores)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     code = EXIT_NOT_RUN
     try:
