--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -12,7 +12,7 @@
 import threading
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 
 from store import Store, serve_store
@@ -80,9 +80,16 @@
 class Deployment:
     """Instances of the project as processes, with the commands of the deploy file."""
 
-    def __init__(self, record: Record, instances: int, cores: float = 1.074) -> None:
+    def __init__(
+        self,
+        record: Record,
+        instances: int,
+        cores: float = 1.074,
+        bounds: Mapping[str, object] | None = None,
+    ) -> None:
         self.record = record
         self._cores = cores
+        self._bounds = {**BOUNDS, **(bounds or {})}
         self.store = Store()
         self.workers: list[Worker] = []
         self._folder = Path(tempfile.mkdtemp(prefix="case-"))
@@ -118,7 +125,7 @@
         self.store.put("keyed.op", "config", document)
         self.record.write(f"operator wrote configuration {version}")
 
-    def add_workers(self, count: int, per_rack: int = 4) -> None:
+    def add_workers(self, count: int, per_rack: int = 4, clock_rate: float = 1.0) -> None:
         """Start workers, spread over the zones."""
         zones = list(ZONES)
         for index in range(count):
@@ -131,6 +138,7 @@
                 ["a", f"r-{index // per_rack}"],
                 self.record.observe,
                 BOUNDS["hold_max_ms"],
+                clock_rate,
             )
             self.workers.append(worker)
 
@@ -162,7 +170,7 @@
             "limits": {"cpu_share": self._cores / 2, "cores": 2, "memory_mb": 300},
             "data_directory": None,
             "heartbeat_interval_ms": 1_500,
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
             "control_mode": "call",
             "platform": {
                 "address": self._store_address,
@@ -311,12 +319,13 @@
     instances: int,
     case: Callable[[Deployment, bool], str],
     cores: float = 1.074,
+    bounds: Mapping[str, object] | None = None,
 ) -> None:
     """Run a case; `case` returns what breaks the rule, or nothing if it held. Ends the process."""
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"the case runs {'with' if trouble else 'without'} the disruption")
-    deployment = Deployment(record, instances, cores)
+    deployment = Deployment(record, instances, cores, bounds)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     code = EXIT_NOT_RUN
     try:
--- a/review/standins_2/workers.py
+++ b/review/standins_2/workers.py
@@ -33,6 +33,7 @@
 
     born_ms: int
     began: float
+    clock_rate: float = 1.0
     token: int = 0
     lease_until: float = 0.0
     runs: dict[str, Run] = field(default_factory=dict)
@@ -42,15 +43,15 @@
 
     def clock_ms(self) -> int:
         """Return the worker's steady clock, which begins anew with each life."""
-        return int((time.monotonic() - self.began) * 1_000) + 1_000
+        return int((time.monotonic() - self.began) * 1_000 * self.clock_rate) + 1_000
 
 
 class Worker:
     """A worker at one address, with one life at a time.
 
     `observe` is called with the name of the event, the worker's id and the run. `unhealthy` makes
-    it answer every call with 503, which does nothing. `delay_s` returns for an order (not for a
-    lease renewal) how much later than usual it is carried out, without an answer.
+    it answer every call with 503, which does nothing. `held_s` is when its lease was extended last,
+    and `clock_rate` the speed of its steady clock.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
         labels: list[str],
         observe: Callable[[str, str, Run | None, str], None],
         hold_max_ms: int = 6_000,
+        clock_rate: float = 1.0,
     ) -> None:
         self.worker_id = worker_id
         self.unhealthy = False
@@ -74,16 +76,18 @@
         self._labels = labels
         self._observe = observe
         self._hold_max_ms = hold_max_ms
+        self._clock_rate = clock_rate
         self._lock = threading.Condition()
         self._sequence = 0
         self._connections: set[socket.socket] = set()
         self._life = self._new_life()
+        self.held_s = 0.0
         self.address = serve(self._handler())
         for target in (self._beat, self._tick):
             threading.Thread(target=target, daemon=True).start()
 
     def _new_life(self) -> Life:
-        return Life(int(time.time() * 1_000), time.monotonic())
+        return Life(int(time.time() * 1_000), time.monotonic(), self._clock_rate)
 
     @property
     def running(self) -> list[Run]:
@@ -169,7 +173,9 @@
     def _extend(self, deadline_ms: int) -> None:
         life = self._life
         left_ms = min(deadline_ms - life.clock_ms(), self._hold_max_ms)
-        life.lease_until = max(life.lease_until, time.monotonic() + left_ms / 1_000)
+        life.lease_until = max(
+            life.lease_until, time.monotonic() + left_ms / 1_000 / life.clock_rate
+        )
 
     def hold(self, body: dict) -> tuple[int, dict]:
         """Extend the lease, drop the ends that are taken note of, and wait for a new one."""
@@ -179,6 +185,8 @@
             if body["fencing_token"] < life.token:
                 return 409, {"clock_ms": life.clock_ms(), "reason": "fence"}
             life.token = body["fencing_token"]
+            if "deadline_ms" in body:
+                self.held_s = time.monotonic()
             for end in life.ended:
                 if end[0] <= body["last_seen"]:
                     self._observe("noted", self.worker_id, None, f"{end[1]} run {end[2]} {end[3]}")
