--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,7 @@
 import time
 from pathlib import Path
 
-from cut import OneWayCut
+from cut import CutLink
 from deployment import Deployment, run_case
 
 # The bounds of the large site that differ from those of the example in DEPLOY.md.
@@ -48,7 +48,7 @@
     deployment.add_workers(WORKERS, clock_rate=CLOCK_RATE)
     cuts = {}
     for worker in deployment.workers:
-        cuts[worker.worker_id] = OneWayCut(worker.address)
+        cuts[worker.worker_id] = CutLink(worker.address)
         worker.address = cuts[worker.worker_id].address
         worker.report()
     deployment.configure()
--- a/review/standins_2/cut.py
+++ b/review/standins_2/cut.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that can cut the direction from a server to its callers."""
+"""A loopback proxy that can cut a server off from its callers, in one direction or in both."""
 
 import contextlib
 import socket
@@ -8,17 +8,19 @@
 BACKLOG = 64
 
 
-class OneWayCut:
+class CutLink:
     """Forwards connections; while it is cut, what the server sends is lost.
 
-    What callers send on open connections arrives. A new connection does not come about, as the
-    server's part of its opening is lost: it is left unanswered in a full queue.
+    What callers send on open connections arrives, unless both directions are cut. A new connection
+    does not come about, as the server's part of its opening is lost: it is left unanswered in a
+    full queue.
     """
 
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._cut = threading.Event()
+        self._both = False
         self._open = threading.Event()
         self._open.set()
         self._lock = threading.Lock()
@@ -35,8 +37,9 @@
         host, port = self._listener.getsockname()
         return f"{host}:{port}"
 
-    def cut(self) -> None:
-        """Lose all that the server sends from now on."""
+    def cut(self, both: bool = False) -> None:
+        """Lose all that the server sends from now on, and what callers send if `both` is set."""
+        self._both = both
         self._open.clear()
         self._cut.set()
         self._listener.listen(0)
@@ -87,7 +90,7 @@
     ) -> None:
         with contextlib.suppress(OSError):
             while data := source.recv(RECEIVE_BYTES):
-                if to_caller and self._cut.is_set():
+                if self._cut.is_set() and (to_caller or self._both):
                     continue
                 sink.sendall(data)
         with self._lock:
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self._topics: dict[str, Topic] = {}
         self._changed = threading.Condition()
+        self.last_writer = ""
 
     def put(self, topic: str, key: str, document: object) -> None:
         """Append a record as the operator or a worker does; None removes the key."""
@@ -52,8 +53,8 @@
         self._changed.notify_all()
         return first
 
-    def append(self, query: dict[str, str], body: bytes) -> tuple[int, dict]:
-        """Append all records of a call, or none."""
+    def append(self, query: dict[str, str], body: bytes, caller: str) -> tuple[int, dict]:
+        """Append all records of a call, or none; note who wrote last under a condition."""
         records = list(_decode(body))
         with self._changed:
             time.sleep(APPEND_S)
@@ -75,6 +76,7 @@
             first = self._add(topic, records)
             answer = {"offset": first, "end": len(topic.records)}
             known.sequence = sequence
+            self.last_writer = caller
             known.answers[sequence] = answer
             for old in sorted(known.answers)[:-REMEMBERED_APPENDS]:
                 del known.answers[old]
@@ -132,8 +134,8 @@
     return found
 
 
-def serve_store(store: Store) -> str:
-    """Serve a store on a free loopback port; return its address."""
+def serve_store(store: Store, caller: str) -> str:
+    """Serve a store to one caller on a free loopback port; return its address."""
 
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -154,7 +156,7 @@
             body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
             name = url.path.removeprefix("/hornbeamfold/")
             if name == "log-append":
-                status, document = store.append(query, body)
+                status, document = store.append(query, body, caller)
                 self._answer(status, json.dumps(document).encode())
             elif name == "log-read":
                 self._answer(200, store.read(query))
--- a/review/standins_2/workers.py
+++ b/review/standins_2/workers.py
@@ -69,6 +69,7 @@
         self.worker_id = worker_id
         self.unhealthy = False
         self.up = True
+        self.reaches_store = True
         self._store = store
         self._service = service
         self._zone = zone
@@ -138,7 +139,7 @@
     def _beat(self) -> None:
         silent = 0
         while True:
-            if self.up:
+            if self.up and self.reaches_store:
                 silent = 0
                 self.report()
             else:
