Grant lease deadlines of starts and renewals in one place

Cause: the deadline of any order applies to everything that runs on a worker. Session counted the deadlines of renewals only; a start order had one of its own, up to 4.3 s after the last confirmed read, and may be sent 3.4 s after the worker's last answer. That is later than the 6.5 s after which the worker counted as lost.

Change: WorkerLease grants each deadline before it is sent. A start gets no later one than the last renewal to the same incarnation; a start before the first renewal is counted. So a former coordinator's starts are within its renewals as well, which the wait after a takeover covers, also with bounds longer than the longest lease. A start that comes too late is logged (start_too_late).

--- a/libs/coordinator/src/hornbeamfold/coordinator/orders.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/orders.py
@@ -65,7 +65,7 @@
     """What orders need from the session with their worker."""
 
     worker: Callable[[], Worker]
-    worker_clock: Callable[[int], int | None]  # its lowest possible reading at a local time
+    grant_start: Callable[[int], int | None]  # the deadline of a start that is valid until then
     is_open: Callable[[], bool]
     request_report: Callable[[], None]
 
@@ -122,22 +122,29 @@
         validity_ms = min(self._bounds.drain_ms, self._bounds.cancel_ms, self._bounds.zone_out_ms)
         now = self._clock()
         until_ms = None if confirmed_ms is None else confirmed_ms + validity_ms - VALIDITY_MARGIN_MS
-        worker_clock_ms = self._link.worker_clock(now)
+        # The state may have changed while the run was recorded and waited for a slot.
         if (
             until_ms is None
-            or until_ms <= now
-            or worker_clock_ms is None
             or not self._hooks.is_active()
+            or not self._hooks.may_start(run, self._link.worker())
         ):
             self._hooks.on_not_started(run, Refusal.TOO_LATE)
             return True
-        # The state may have changed while the run was recorded and waited for a slot.
-        if not self._hooks.may_start(run, self._link.worker()):
+        deadline_ms = self._link.grant_start(until_ms)
+        if deadline_ms is None:
+            logger.info(
+                "start_too_late",
+                extra={
+                    "request": run.name.job_id,
+                    "task": list(run.name.task),
+                    "run": run.name.run,
+                    "worker": run.worker_id,
+                    "valid_for_ms": until_ms - now,
+                },
+            )
             self._hooks.on_not_started(run, Refusal.TOO_LATE)
             return True
-        order = StartOrder(
-            run.name, payload, self._token, worker_clock_ms + (until_ms - now), run.checkpoint
-        )
+        order = StartOrder(run.name, payload, self._token, deadline_ms, run.checkpoint)
         outcome, attempts = self._start_until_answered(run, order, until_ms)
         took_ms = self._clock() - now
         _start_ms(took_ms)
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -20,6 +20,7 @@
     Worker,
     WorkerPort,
 )
+from hornbeamfold.coordinator.lease import WorkerLease
 from hornbeamfold.coordinator.orders import RETRY_MS, OrderHooks, Orders, WorkerLink
 from hornbeamfold.telemetry import get_logger
 
@@ -41,12 +42,6 @@
 # A coordinator whose state was last confirmed longer ago than this extends no lease: another one
 # may have taken over, which relies on that. Shorter outages of the store lose no work.
 MAX_RENEWAL_STATE_AGE_MS = 6_000
-# Work on a lost worker restarts after its lease expires. Together with the time above, work
-# continues for 12 s without the store.
-MAX_LEASE_MS = 6_000
-# A worker's clock may be 2% slow. The margin is for the delivery of the renewal.
-MIN_CLOCK_RATE = 0.97
-CLOCK_MARGIN_MS = 300
 
 
 class RunsLost(StrEnum):
@@ -56,11 +51,6 @@
     LEASE_EXPIRED = "lease expired"
 
 
-def lease_ms(bounds: Bounds) -> int:
-    """Return for how long a renewal extends a worker's lease."""
-    return min(bounds.lease_max_ms, MAX_LEASE_MS)
-
-
 def busy_renewal_wait_ms(workers: int, cores: float) -> int:
     """Return how long renewals wait at workers with runs, for a coordinator with this capacity."""
     wait_ms = workers * RENEWAL_COST_MS / (MAX_RENEWAL_SHARE * min(1.0, cores))
@@ -98,20 +88,19 @@
         self._token = token
         self._port = port
         self._hooks = hooks
-        self._bounds = bounds
         self._clock = clock
-        self._lease_until_ms = lease_until_ms
-        self._lease_ms = lease_ms(bounds)
+        self._lease = WorkerLease(bounds, clock, lease_until_ms)
         self._acknowledged_end = 0
-        self._worker_clock_ms = 0
-        self._worker_clock_read_ms: int | None = None
         self._reported_ms: int | None = None
         self._unknown_runs = 0
         self._closed = False
         self._registered = True
         self._described = True
         link = WorkerLink(
-            lambda: self._worker, self._worker_clock, lambda: not self._closed, self._request_report
+            lambda: self._worker,
+            self._lease.grant_start,
+            lambda: not self._closed,
+            self._request_report,
         )
         self._orders = Orders(link, token, port, hooks.orders, bounds, clock)
         self._disconnected = False
@@ -169,7 +158,7 @@
     @property
     def lease_until_ms(self) -> int:
         """The time by which all runs on the worker have ended if no renewal reaches it."""
-        return self._lease_until_ms
+        return self._lease.expired_by_ms
 
     def update(self, worker: Worker) -> None:
         """Update the worker from its entry in the platform's registry."""
@@ -222,13 +211,10 @@
         now = self._clock()
         self._worker = worker
         self._incarnation_known_ms = now
-        # A start order that was on its way to the previous incarnation may start its run on this
-        # one. So no run is lost before this incarnation reports, or before the lease of such a run
-        # would have expired.
-        longest_lease_ms = int(self._bounds.lease_max_ms / MIN_CLOCK_RATE) + CLOCK_MARGIN_MS
-        self._lease_until_ms = max(self._lease_until_ms, now + longest_lease_ms)
+        # No run is lost before this incarnation reports, or before the lease of a run that a late
+        # start order began on it would have expired.
+        self._lease.begin_incarnation()
         self._acknowledged_end = 0
-        self._worker_clock_read_ms = None
         self._reported_ms = None
 
     def run(self) -> None:
@@ -245,8 +231,7 @@
             # After a failed renewal another incarnation may answer, which numbers its ends anew. It
             # must not drop any of them as acknowledged.
             acknowledged = 0 if self._disconnected else self._acknowledged_end
-            renewal = LeaseRenewal(self._token, acknowledged, wait_ms, self._lease_expiry(sent_ms))
-            self._extend_lease_deadline(renewal, sent_ms)
+            renewal = LeaseRenewal(self._token, acknowledged, wait_ms, self._grant_renewal())
             outcome = self._port.renew(self._worker, renewal)
             if self._closed or not self._hooks.orders.is_active():
                 return
@@ -266,7 +251,7 @@
                 case NoAnswer(reason):
                     self._note_disconnected(reason)
                     # Whatever the worker's host answers, only its lease ends its runs for certain.
-                    if self._clock() > self._lease_until_ms:
+                    if self._clock() > self._lease.expired_by_ms:
                         self._hooks.on_runs_lost(self, RunsLost.LEASE_EXPIRED, self._worker.born_ms)
                     eventlet.sleep(RETRY_MS / 1_000)
 
@@ -277,33 +262,19 @@
                 "worker_lost", extra={"worker": self._worker.worker_id, "reason": reason}
             )
 
-    def _worker_clock(self, at_ms: int) -> int | None:
-        """Return the lowest possible reading of the worker's clock at a local time."""
-        if self._worker_clock_read_ms is None:
-            return None
-        return self._worker_clock_ms + int((at_ms - self._worker_clock_read_ms) * MIN_CLOCK_RATE)
-
-    def _lease_expiry(self, now_ms: int) -> int | None:
+    def _grant_renewal(self) -> int | None:
         """Return the new lease expiry on the worker's clock, or None to leave the lease unchanged.
 
         After an unanswered renewal the lease is not extended until one is answered. Otherwise a
         worker that receives renewals but cannot answer would keep its runs for ever. The lease is
         also not extended while this coordinator may have been replaced.
         """
-        worker_clock_ms = self._worker_clock(now_ms)
         confirmed_ms = self._hooks.orders.state_confirmed_ms()
-        if worker_clock_ms is None or self._disconnected or confirmed_ms is None:
+        if self._disconnected or confirmed_ms is None:
             return None
-        if now_ms - confirmed_ms > MAX_RENEWAL_STATE_AGE_MS:
+        if self._clock() - confirmed_ms > MAX_RENEWAL_STATE_AGE_MS:
             return None
-        return worker_clock_ms + self._lease_ms
-
-    def _extend_lease_deadline(self, renewal: LeaseRenewal, sent_ms: int) -> None:
-        """Extend the known lease deadline as if the worker gets this renewal, answered or not."""
-        if renewal.expires_ms is None:
-            return
-        until_ms = sent_ms + int(self._lease_ms / MIN_CLOCK_RATE) + CLOCK_MARGIN_MS
-        self._lease_until_ms = max(self._lease_until_ms, until_ms)
+        return self._lease.grant_renewal()
 
     def _on_report(self, report: LeaseReport, sent_ms: int) -> None:
         now = self._clock()
@@ -317,8 +288,7 @@
         if is_other_incarnation:
             self._on_new_incarnation(replace(self._worker, born_ms=report.born_ms))
             self._described = False
-        self._worker_clock_ms = report.clock_ms
-        self._worker_clock_read_ms = now
+        self._lease.set_worker_clock(report.clock_ms)
         self._has_running_tasks = bool(report.running)
         self._reported_ms = now
         self._hooks.on_report(self, report, sent_ms)
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -26,18 +26,17 @@
 from hornbeamfold.coordinator.job_intake import IntakeHooks, JobIntake
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.journal import Journal
+from hornbeamfold.coordinator.lease import MIN_CLOCK_RATE, lease_ms
 from hornbeamfold.coordinator.orders import OrderHooks
 from hornbeamfold.coordinator.planner_inputs import PlacedRuns, candidate_workers, ready_steps
 from hornbeamfold.coordinator.reports import ReportDependencies, WorkerReports
 from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
-    MIN_CLOCK_RATE,
     RunsLost,
     Session,
     SessionHooks,
     busy_renewal_wait_ms,
-    lease_ms,
 )
 from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
 from hornbeamfold.coordinator.wait_log import WaitLog
--- a/libs/coordinator/tests/coordinator_cases.py
+++ b/libs/coordinator/tests/coordinator_cases.py
@@ -143,6 +143,7 @@
     renew: Renew,
     born_ms: int = 1,
     worker_id: str = "w1",
+    bounds: Bounds = BOUNDS,
     **port: Callable,
 ) -> Session:
     """Return a session whose worker answers renewals with `renew`."""
@@ -156,5 +157,5 @@
         stop=port.get("stop", refuse),
     )
     return Session(
-        worker(worker_id, born_ms), 7, workers, hooks(calls, clock), BOUNDS, clock, clock()
+        worker(worker_id, born_ms), 7, workers, hooks(calls, clock), bounds, clock, clock()
     )
--- a/libs/coordinator/tests/test_session.py
+++ b/libs/coordinator/tests/test_session.py
@@ -20,6 +20,7 @@
 
 from hornbeamfold.batch import (  # noqa: E402
     Accepted,
+    Bounds,
     EndedTask,
     LeaseRenewal,
     LeaseReport,
@@ -34,10 +35,10 @@
     Step,
     TaskRef,
 )
+from hornbeamfold.coordinator.lease import MIN_CLOCK_RATE  # noqa: E402
 from hornbeamfold.coordinator.orders import MAX_CONCURRENT_ORDERS  # noqa: E402
 from hornbeamfold.coordinator.session import (  # noqa: E402
     MAX_RENEWAL_STATE_AGE_MS,
-    MIN_CLOCK_RATE,
     RunsLost,
     Session,
     busy_renewal_wait_ms,
@@ -84,6 +85,74 @@
         lease_end = sent[-1] + BOUNDS.lease_max_ms / MIN_CLOCK_RATE
         self.assertGreater(clock(), lease_end)
 
+    def test_a_start_order_does_not_outlast_the_lease_that_is_waited_for(self) -> None:
+        """Guards against second runs of all tasks of a worker that got a start but cannot answer.
+
+        Found by: review/6, TWICE.
+        """
+        cases = [
+            (
+                "bounds of rsa-fold-large",
+                Bounds(zone_out_ms=5_000, drain_ms=5_000, cancel_ms=5_000),
+            ),
+            ("bounds of rsa-fold", Bounds()),
+            (
+                "bounds beyond the longest lease",
+                Bounds(10_000, zone_out_ms=20_000, drain_ms=20_000, cancel_ms=20_000),
+            ),
+        ]
+        for name, bounds in cases:
+            for start_ms in (0, 500, 3_400):
+                with self.subTest(name, start_ms=start_ms):
+                    lost_ms, lease_ms = self.lease_at_loss(bounds, start_ms)
+                    self.assertGreater(lost_ms, lease_ms)
+
+    def lease_at_loss(self, bounds: Bounds, start_ms: int) -> tuple[int, int]:
+        """Return when a worker whose answers are lost counts as lost, and its lease, on its clock.
+
+        A start order is sent this long after its last answer. Its clock is 2% slow.
+        """
+        clock, calls = ManualClock(), RecordedCalls()
+        began_ms, deadlines = clock(), [0]
+        tracker = tracker_with(clock, job("a"))
+        (run,) = tracker.begin_runs("a", [TaskRef(0, 0, 0)], [worker()])
+        sessions: list[Session] = []
+        unanswered: list[LeaseRenewal] = []
+
+        def worker_clock_ms() -> int:
+            return int((clock() - began_ms) * 0.98)
+
+        def start(_: object, order: StartOrder) -> NoAnswer:
+            deadlines.append(order.valid_until_ms)
+            return NoAnswer("timeout")
+
+        def renew(renewal: LeaseRenewal) -> LeaseReport | NoAnswer:
+            deadlines.append(renewal.expires_ms or 0)
+            if len(calls.named("report")) < 3:
+                return LeaseReport(worker_clock_ms(), 1, (), ())
+            if calls.named("runs lost"):
+                calls.end()
+            unanswered.append(renewal)
+            if len(unanswered) == 1:
+                clock.move(start_ms)
+                sessions[0].orders.send_start(run, "{}")
+            clock.move(100)
+            return NoAnswer("timeout")
+
+        sessions.append(
+            session(
+                calls,
+                clock,
+                renew,
+                bounds=bounds,
+                start=start,
+                stop=lambda *_: Accepted(0),
+            )
+        )
+        with sleep_moves_clock(clock):
+            sessions[0].run()
+        return worker_clock_ms(), max(deadlines)
+
     def test_renewals_extend_the_lease_once_the_workers_clock_is_known(self) -> None:
         clock, calls = ManualClock(), RecordedCalls()
         seen: list[LeaseRenewal] = []
