Renew no leases on a worker that does not answer exchanges

What callers could see, on the product's own interface: tasks started elsewhere while a worker that received exchanges and could not answer still ran them.

Cause: each exchange renewed the leases, answered or not, and silence was counted from the last reply.

Change: after an exchange whose reply did not arrive, leases are renewed only once a reply does, and silence is counted from the last exchange that may have extended them.

Evidence: test_leases_end_before_a_worker_counts_as_lost failed before (lost at 44 s, lease until 73 s), as did test_renewals_go_on_after_a_reply. libs/daemon: 53 passed, 0 failed.

--- a/libs/daemon/src/hornbeamfold/daemon/worker_session.py
+++ b/libs/daemon/src/hornbeamfold/daemon/worker_session.py
@@ -105,6 +105,10 @@
         self._context = context
         # Another instance may have renewed the leases until just before this one took over.
         self._last_reply_ms = context.clock()
+        # When leases were last extended in an exchange whose reply did not arrive, and whether that
+        # was the last one.
+        self._unanswered_ms = self._last_reply_ms
+        self._unanswered = False
         self._next_sync_due_ms = context.clock()
         self._worker_leaving = False
         self._task_reports: dict[str, TaskReport] = {}
@@ -153,7 +157,7 @@
             self._task_reports,
             self._last_result,
             may_start,
-            self._context.freshness.may_renew(now),
+            self._may_renew(now),
             self._context.wall_clock() + START_ORDER_VALIDITY_MS,
         )
         self._log_starts(plan, capacity.eligible)
@@ -162,8 +166,10 @@
         if isinstance(reply, SyncReply):
             self._handle_reply(plan, reply)
             return RESYNC_SOON_MS if plan.resync_soon else self._next_sync_ms(members)
-        if isinstance(reply, NoReply) and reply.closed:
-            self._interrupted_starts |= frozenset(plan.starts)
+        if isinstance(reply, NoReply):
+            self._note_unanswered(plan, now)
+            if reply.closed:
+                self._interrupted_starts |= frozenset(plan.starts)
         logger.warning(
             "A worker did not answer",
             extra={"worker": self._worker, "detail": reply.detail},
@@ -171,6 +177,22 @@
         self._handle_unreachable()
         return min(self._context.interval_ms, START_TIMEOUT_MS)
 
+    def _may_renew(self, now_ms: int) -> Permit:
+        """Return whether to renew leases: not after an exchange whose reply did not arrive.
+
+        A worker that receives renewals but cannot answer would keep its tasks while they are
+        started elsewhere.
+        """
+        if self._unanswered:
+            return Permit(False, "the last exchange was not answered")
+        return self._context.freshness.may_renew(now_ms)
+
+    def _note_unanswered(self, plan: SyncPlan, sent_ms: int) -> None:
+        """Note that a worker may have received an exchange, and with it longer leases."""
+        self._unanswered = True
+        if plan.request.start or plan.request.renew:
+            self._unanswered_ms = sent_ms
+
     def _members(self) -> tuple[WorkerMember, ...]:
         members: list[WorkerMember] = []
         for job in self._context.follower.view.jobs_on(self._worker):
@@ -223,6 +245,7 @@
 
     def _handle_reply(self, plan: SyncPlan, reply: SyncReply) -> None:
         self._last_reply_ms = self._context.clock()
+        self._unanswered = False
         self._task_reports = {
             report.task: report for report in reply.tasks if report.task.startswith(JOB_TASK_PREFIX)
         }
@@ -338,7 +361,7 @@
         capacity = self._context.follower.view.capacities.get(self._worker)
         if capacity is None or not self._context.freshness.may_start(now).granted:
             return
-        silent_ms = now - self._last_reply_ms
+        silent_ms = now - max(self._last_reply_ms, self._unanswered_ms)
         if silent_ms >= GANG_LEASE_MS:
             self._stop_gangs(silent_ms)
         if silent_ms < max(LEASE_MS, self._context.freshness.lost_after(capacity.region, now)):
