Record losses with their worker and incarnation

Cause: the number of losses without evidence was part of the recorded progress, what could take one back (the worker and its incarnation) was kept in the memory of the coordinator that counted it.

Change: WorkerLoss is recorded with the progress of its task, and any coordinator withdraws or confirms it when the worker reports; the counts follow from the losses. Losses that do not count at first are recorded as well, so a culprit whose workers come back to another coordinator is still given up. Of progress of an earlier version only the evidence is read. What a review changes is written at once.

--- a/libs/batch/src/hornbeamfold/batch/__init__.py
+++ b/libs/batch/src/hornbeamfold/batch/__init__.py
@@ -56,6 +56,7 @@
     JobState,
     TaskPhase,
     TaskProgress,
+    WorkerLoss,
 )
 from hornbeamfold.batch.spec import (
     BatchJob,
@@ -121,6 +122,7 @@
     "TopicPort",
     "Trimmed",
     "Worker",
+    "WorkerLoss",
     "WorkerPort",
     "elapsed_ms",
     "job_problem",
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -18,6 +18,7 @@
     TaskProgress,
     TaskRef,
     Worker,
+    WorkerLoss,
 )
 from hornbeamfold.coordinator.crash_history import SuspectKey
 from hornbeamfold.coordinator.tracked import TrackedJob
@@ -91,6 +92,14 @@
         return (now_ms - self.begun_ms) * 100 / (self.percent - self.from_percent)
 
 
+@dataclass(frozen=True)
+class OpenLoss:
+    """A run that was lost with its worker, and the recorded loss."""
+
+    name: RunName
+    loss: WorkerLoss
+
+
 class JobTracker:
     """Jobs and runs of one term; every change marks its job to be recorded by the journal."""
 
@@ -103,6 +112,8 @@
         self._reserved: dict[str, Resources] = {}
         self._changed: set[str] = set()
         self._final_states: dict[str, JobState] = {}
+        # The tasks that have a loss of each worker.
+        self._lost_tasks: dict[str, set[tuple[str, TaskRef]]] = {}
 
     @property
     def jobs(self) -> Mapping[str, TrackedJob]:
@@ -165,6 +176,8 @@
         self._jobs[job.job_id] = tracked
         now = self._clock()
         for ref, task in tracked.tasks.items():
+            for loss in task.losses:
+                self._lost_tasks.setdefault(loss.worker_id, set()).add((job.job_id, ref))
             if task.phase is not TaskPhase.ACTIVE:
                 continue
             # The run counts as settled: workers refuse the orders of an earlier coordinator once
@@ -309,13 +322,20 @@
         self._runs[name] = replace(run, stop_reason=reason)
         return self._runs[name]
 
-    def end_run(self, name: RunName, end: RunEnd, checkpoint: str = "") -> tuple[RunName, ...]:
-        """Record the end of a run; return the runs that must be stopped because of it."""
+    def end_run(
+        self, name: RunName, end: RunEnd, checkpoint: str = "", loss: WorkerLoss | None = None
+    ) -> tuple[RunName, ...]:
+        """Record the end of a run; return the runs that must be stopped because of it.
+
+        `loss` is kept until the worker is heard of, and then decides whether it has crashed.
+        """
         run = self._remove_run(name)
         if run is None:
             return ()
         tracked = self._jobs.get(name.job_id)
-        if end in (RunEnd.WORKER_CRASHED, RunEnd.WORKER_VANISHED):
+        if loss is not None:
+            self._keep_loss(run, tracked, loss)
+        elif end in (RunEnd.WORKER_CRASHED, RunEnd.WORKER_VANISHED):
             self._attribute_crash(run, tracked, end)
         _ends(1, end=end.value)
         logger.info(
@@ -371,38 +391,68 @@
             return
         _log_crash(tracked, run.name, run.worker_id, alone, evident)
 
-    def confirm_crash(
-        self, name: RunName, worker_id: str, alone: bool, evident: bool, counted: bool
-    ) -> tuple[RunName, ...]:
-        """Count the crash of a worker that is known only after a run on it was ended.
+    def _keep_loss(self, run: Run, tracked: TrackedJob | None, loss: WorkerLoss) -> None:
+        if tracked is None or not tracked.add_loss(run.name, loss, run.listed_for_ms):
+            return
+        self._lost_tasks.setdefault(run.worker_id, set()).add((run.name.job_id, run.name.task))
+        if loss.counted:
+            _log_crash(tracked, run.name, run.worker_id, loss.alone, evident=False)
+
+    def open_losses(self, worker_id: str) -> tuple[OpenLoss, ...]:
+        """Return the losses of a worker, also of earlier terms, that are not decided yet."""
+        found: list[OpenLoss] = []
+        for job_id, ref in sorted(self._lost_tasks.get(worker_id, ())):
+            tracked = self._jobs.get(job_id)
+            if tracked is None:
+                continue
+            found.extend(
+                OpenLoss(RunName(job_id, ref, loss.run), loss)
+                for loss in tracked.task(ref).losses
+                if loss.worker_id == worker_id
+            )
+        return tuple(found)
+
+    def confirm_crash(self, lost: OpenLoss, evident: bool) -> tuple[RunName, ...]:
+        """Count the crash of a worker that is known only after the run on it was lost.
 
-        `counted` says that the loss was counted as a crash without evidence. Returns the runs that
-        must be stopped because of it.
+        Returns the runs that must be stopped because of it.
         """
-        tracked = self._jobs.get(name.job_id)
-        if tracked is None or not tracked.confirm_crash(name.task, alone, evident, counted):
+        tracked = self._jobs.get(lost.name.job_id)
+        self._forget_loss(lost)
+        if tracked is None:
             return ()
-        self._changed.add(name.job_id)
-        _log_crash(tracked, name, worker_id, alone, evident)
+        tracked.confirm_crash(lost.name.task, lost.loss, evident)
+        self._changed.add(lost.name.job_id)
+        _log_crash(tracked, lost.name, lost.loss.worker_id, lost.loss.alone, evident)
         return self._close_job(tracked) if tracked.ended else ()
 
-    def withdraw_crash(self, name: RunName, worker_id: str) -> None:
-        """Take back a crash without evidence, as the worker was only cut off."""
-        tracked = self._jobs.get(name.job_id)
-        if tracked is None or not tracked.withdraw_crash(name.task):
+    def withdraw_loss(self, lost: OpenLoss) -> None:
+        """Remove the loss of a worker that was only cut off."""
+        tracked = self._jobs.get(lost.name.job_id)
+        self._forget_loss(lost)
+        if tracked is None:
+            return
+        tracked.withdraw_loss(lost.name.task, lost.loss)
+        self._changed.add(lost.name.job_id)
+        if not lost.loss.counted:
             return
-        self._changed.add(name.job_id)
         logger.info(
             "crash_withdrawn",
             extra={
-                "request": name.job_id,
-                "task": list(name.task),
-                "run": name.run,
-                "worker": worker_id,
-                "crashes": tracked.task(name.task).crashes,
+                "request": lost.name.job_id,
+                "task": list(lost.name.task),
+                "run": lost.name.run,
+                "worker": lost.loss.worker_id,
+                "crashes": tracked.task(lost.name.task).suspected_crashes,
             },
         )
 
+    def _forget_loss(self, lost: OpenLoss) -> None:
+        tasks = self._lost_tasks.get(lost.loss.worker_id, set())
+        tasks.discard((lost.name.job_id, lost.name.task))
+        if not tasks:
+            self._lost_tasks.pop(lost.loss.worker_id, None)
+
     def _mark_gang_done(self, tracked: TrackedJob, name: RunName) -> None:
         now = self._clock()
         for other in self._remaining_gang_members(tracked, name):
@@ -419,6 +469,9 @@
     def _close_job(self, tracked: TrackedJob) -> tuple[RunName, ...]:
         job_id = tracked.job.job_id
         self._final_states[job_id] = tracked.state
+        for ref, task in tracked.tasks.items():
+            for loss in task.losses:
+                self._forget_loss(OpenLoss(RunName(job_id, ref, loss.run), loss))
         del self._jobs[job_id]
         self._changed.add(job_id)
         logger.info("job_ended", extra={"request": job_id, "state": tracked.state.value})
@@ -455,7 +508,7 @@
         "worker": worker_id,
         "alone": alone,
         "evident": evident,
-        "crashes": tracked.task(name.task).crashes,
+        "crashes": tracked.task(name.task).suspected_crashes,
     }
     logger.warning("worker_crashed_under_run", extra=extra)
     if tracked.ended:
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -199,6 +199,10 @@
             return RunEnd.LOST
         return RunEnd.LOST if self._registered else RunEnd.WORKER_VANISHED
 
+    def has_drained(self, born_ms: int) -> bool:
+        """Return whether the incarnation born at `born_ms` announced that it leaves."""
+        return born_ms in self._drained
+
     def _note_drain(self, worker: Worker) -> None:
         if worker.draining:
             self._drained.add(worker.born_ms)
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -17,6 +17,7 @@
     RunName,
     TopicPort,
     Worker,
+    WorkerLoss,
     WorkerPort,
 )
 from hornbeamfold.coordinator.announcer import Announcer
@@ -105,7 +106,10 @@
         self._placed_runs = PlacedRuns()
         self._wait_log = WaitLog(deps.clock)
         self._losses = RunLosses(
-            self._tracker, LossHooks(self._end_run, self._stop_all), deps.clock
+            self._tracker,
+            LossHooks(self._end_lost_run, self._stop_all, lambda: self._journal.notify()),
+            deps.clock,
+            deps.wall,
         )
         self._sessions: dict[str, Session] = {}
         self._active = True
@@ -395,11 +399,17 @@
         if sent.incarnation is not None:
             self._losses.end_all(session, RunsLost.ANOTHER_ANSWERS, sent.incarnation)
 
-    def _end_run(self, name: RunName, end: RunEnd, checkpoint: str = "") -> None:
-        self._stop_all(self._tracker.end_run(name, end, checkpoint), "job ended or gang broken")
+    def _end_run(
+        self, name: RunName, end: RunEnd, checkpoint: str = "", loss: WorkerLoss | None = None
+    ) -> None:
+        stopped = self._tracker.end_run(name, end, checkpoint, loss)
+        self._stop_all(stopped, "job ended or gang broken")
         self._journal.notify()
         self._notify()
 
+    def _end_lost_run(self, name: RunName, end: RunEnd, loss: WorkerLoss | None) -> None:
+        self._end_run(name, end, loss=loss)
+
     def _stop_all(self, names: Sequence[RunName], reason: str) -> None:
         for name in names:
             run = self._tracker.request_stop(name, reason)
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -15,6 +15,7 @@
     TaskPhase,
     TaskProgress,
     TaskRef,
+    WorkerLoss,
 )
 from hornbeamfold.ledger import task_parts
 
@@ -27,6 +28,8 @@
 MAX_CRASHES = 4
 MIN_CRASHES_WITH_EVIDENCE = 2
 MAX_CRASHES_WITHOUT_EVIDENCE = 5
+# The workers of a task that are waited for at the same time to learn what became of them.
+MAX_OPEN_LOSSES = 8
 # A long-running task sees many workers crash. A run that has lasted for this long clears its task.
 CLEARING_RUN_MS = 60_000
 
@@ -63,7 +66,7 @@
         waiting: set[int] = set()
         for index in range(count):
             task = self.task(TaskRef(occurrence, step, index))
-            if task.crashes >= ISOLATION_CRASHES:
+            if task.suspected_crashes >= ISOLATION_CRASHES:
                 self._isolated.setdefault((occurrence, step), set()).add(index)
             phase = task.phase
             if phase is TaskPhase.DONE:
@@ -228,63 +231,86 @@
         """Count a crash of the worker of a run, and fail the job after too many of them.
 
         `alone` says that the run, or its gang, was the only one on the worker, and `evident` that
-        the worker was not only cut off. Returns False if the run is not the task's current run.
+        its crash is evidence against the task. Returns False if the run is not the task's current
+        run.
         """
         if not self.is_current(name):
             return False
-        if self._job.steps[name.task.step].long_running and ran_ms >= CLEARING_RUN_MS:
-            self._set_crashes(name.task, 0)
+        if self._outlasted_crashes(name, ran_ms):
+            self._clear_crashes(name.task)
             return True
         task = self.task(name.task)
-        self._set_crashes(name.task, task.crashes + 1, task.vanished + (not evident))
+        self._set_suspicion(
+            name.task,
+            replace(task, crashes=task.crashes + 1, vanished=task.vanished + (not evident)),
+        )
         self._fail_after_crashes(name.task, alone, evident)
         return True
 
+    def add_loss(self, name: RunName, loss: WorkerLoss, ran_ms: int) -> bool:
+        """Keep the loss of a run's worker until the worker is heard of; return whether it is kept.
+
+        A loss that counts as a crash fails the job after too many of them.
+        """
+        if not self.is_current(name):
+            return False
+        if self._outlasted_crashes(name, ran_ms):
+            self._clear_crashes(name.task)
+            return False
+        task = self.task(name.task)
+        others = [each for each in task.losses if each.worker_id != loss.worker_id]
+        if len(others) >= MAX_OPEN_LOSSES:
+            others.remove(next((each for each in others if not each.counted), others[0]))
+        self._set_suspicion(name.task, replace(task, losses=(*others, loss)))
+        if loss.counted:
+            self._fail_after_crashes(name.task, loss.alone, evident=False)
+        return True
+
     def _fail_after_crashes(self, ref: TaskRef, alone: bool, evident: bool) -> None:
         task = self.task(ref)
         limit = MAX_CRASHES_WITHOUT_EVIDENCE
         if evident and task.crashes - task.vanished >= MIN_CRASHES_WITH_EVIDENCE:
             limit = MAX_CRASHES_ALONE if alone else MAX_CRASHES
-        if task.crashes >= limit:
+        if task.suspected_crashes >= limit:
             self.fail()
 
-    def confirm_crash(self, ref: TaskRef, alone: bool, evident: bool, counted: bool) -> bool:
-        """Count the crash of a worker that is known only after the run on it was ended.
-
-        `counted` says that the loss was counted as a crash without evidence. Returns whether the
-        counts have changed.
-        """
+    def confirm_crash(self, ref: TaskRef, loss: WorkerLoss, evident: bool) -> None:
+        """Count the crash of a worker that is known only after the run on it was lost."""
+        self.withdraw_loss(ref, loss)
         task = self.task(ref)
-        if task.phase is TaskPhase.DONE or (counted and not (evident and task.vanished)):
-            return False
-        crashes = task.crashes if counted else task.crashes + 1
-        vanished = task.vanished - counted + (not evident)
-        self._set_crashes(ref, crashes, vanished)
-        self._fail_after_crashes(ref, alone, evident)
-        return True
+        self._set_suspicion(
+            ref, replace(task, crashes=task.crashes + 1, vanished=task.vanished + (not evident))
+        )
+        self._fail_after_crashes(ref, loss.alone, evident)
 
-    def withdraw_crash(self, ref: TaskRef) -> bool:
-        """Take back a crash without evidence; return False if none is counted any more."""
+    def withdraw_loss(self, ref: TaskRef, loss: WorkerLoss) -> None:
+        """Remove the loss of a worker that was only cut off."""
         task = self.task(ref)
-        if not task.vanished:
-            return False
-        self._set_crashes(ref, task.crashes - 1, task.vanished - 1)
-        return True
+        losses = tuple(each for each in task.losses if each != loss)
+        self._set_suspicion(ref, replace(task, losses=losses))
 
     def clear_crashes(self, name: RunName, ran_ms: int) -> bool:
         """Clear the crashes of a long-running task that has run for long; return any change."""
         task = self.task(name.task)
-        if not task.crashes or ran_ms < CLEARING_RUN_MS or not self.is_current(name):
+        if not task.crashes and not task.losses:
             return False
-        if not self._job.steps[name.task.step].long_running:
+        if not self._outlasted_crashes(name, ran_ms) or not self.is_current(name):
             return False
-        self._set_crashes(name.task, 0)
+        self._clear_crashes(name.task)
         return True
 
-    def _set_crashes(self, ref: TaskRef, crashes: int, vanished: int = 0) -> None:
-        self._set_task(ref, replace(self.task(ref), crashes=crashes, vanished=vanished))
+    def _outlasted_crashes(self, name: RunName, ran_ms: int) -> bool:
+        """Return whether a run of a long-running task has lasted long enough to clear the task."""
+        return self._job.steps[name.task.step].long_running and ran_ms >= CLEARING_RUN_MS
+
+    def _clear_crashes(self, ref: TaskRef) -> None:
+        self._set_suspicion(ref, replace(self.task(ref), crashes=0, vanished=0, losses=()))
+
+    def _set_suspicion(self, ref: TaskRef, task: TaskProgress) -> None:
+        """Update a task of which the crashes or losses have changed."""
+        self._set_task(ref, task)
         key = (ref.occurrence, ref.step)
-        if crashes >= ISOLATION_CRASHES:
+        if task.suspected_crashes >= ISOLATION_CRASHES:
             self._isolated.setdefault(key, set()).add(ref.index)
             return
         isolated = self._isolated.get(key, set())
@@ -314,7 +340,7 @@
         if task.phase is TaskPhase.DONE:
             return
         self._set_task(ref, replace(task, phase=TaskPhase.DONE, checkpoint=""))
-        self._set_crashes(ref, 0)
+        self._clear_crashes(ref)
         self._waiting[ref.occurrence, ref.step].discard(ref.index)
         self._done_counts[ref.occurrence, ref.step] += 1
         self._unfinished_tasks -= 1
--- a/libs/coordinator/tests/test_run_losses.py
+++ b/libs/coordinator/tests/test_run_losses.py
@@ -13,10 +13,17 @@
 )
 
 from hornbeamfold.batch import JobState, NoAnswer, Resources, RunName, Step, TaskRef
-from hornbeamfold.coordinator.job_tracker import Holding
+from hornbeamfold.coordinator.crash_history import WINDOW_MS
+from hornbeamfold.coordinator.job_tracker import Holding, JobTracker
 from hornbeamfold.coordinator.run_losses import REVIEW_TIMEOUT_MS, LossHooks, RunLosses
 from hornbeamfold.coordinator.session import RunsLost, Session
-from hornbeamfold.coordinator.tracked import MAX_CRASHES_ALONE, MAX_CRASHES_WITHOUT_EVIDENCE
+from hornbeamfold.coordinator.tracked import (
+    MAX_CRASHES_ALONE,
+    MAX_CRASHES_WITHOUT_EVIDENCE,
+    MAX_OPEN_LOSSES,
+)
+from hornbeamfold.ledger import encode_progress
+from hornbeamfold.ledger.codec import decode_progress
 
 TASK = TaskRef(0, 0, 0)
 STEP = Step(1, Resources(1_000, 1_000, 1), 1_000)
@@ -29,8 +36,24 @@
         self.clock = ManualClock()
         self.tracker = tracker_with(self.clock, job("a", STEP))
         self.stopped: list[RunName] = []
-        hooks = LossHooks(self.tracker.end_run, lambda names, _: self.stopped.extend(names))
-        self.losses = RunLosses(self.tracker, hooks, self.clock)
+        self.losses = self.losses_of(self.tracker)
+
+    def losses_of(self, tracker: JobTracker) -> RunLosses:
+        """Return the losses of a term with this tracker."""
+        hooks = LossHooks(
+            lambda name, end, loss: tracker.end_run(name, end, loss=loss),
+            lambda names, _: self.stopped.extend(names),
+            lambda: None,
+        )
+        return RunLosses(tracker, hooks, self.clock, self.clock)
+
+    def take_over(self) -> None:
+        """Let another coordinator go on from the recorded progress."""
+        state, tasks = self.tracker.recorded_progress("a")
+        stored = decode_progress(encode_progress("a", state, tasks).value)
+        self.tracker = JobTracker(self.clock)
+        self.tracker.add(job("a", STEP), stored)
+        self.losses = self.losses_of(self.tracker)
 
     def begin(self, worker_id: str, holding: Holding = Holding.CERTAIN) -> Session:
         """Start the task on a worker; return the session with the worker."""
@@ -53,7 +76,7 @@
     def crashes(self) -> tuple[int, int]:
         """Return how many crashes the task has, with and without evidence."""
         task = self.tracker.jobs["a"].task(TASK)
-        return task.crashes - task.vanished, task.vanished
+        return task.crashes - task.vanished, task.suspected_without_evidence
 
 
 class ReviewTest(LossCase):
@@ -113,6 +136,49 @@
             self.hear_of(with_worker, born_ms=1)
         self.assertEqual(self.crashes(), (0, 0))
 
+    def test_cuts_fail_no_job_whose_coordinators_are_replaced(self) -> None:
+        """Guards against counts of cuts that outlive the coordinator which could withdraw them.
+
+        Found by: review/9, LOST.
+        """
+        for number in range(2 * MAX_CRASHES_WITHOUT_EVIDENCE):
+            with_worker = self.begin(f"w{number}")
+            self.lose(with_worker, registered=False)
+            self.assertEqual(self.crashes(), (0, 1))
+            self.take_over()
+            self.hear_of(with_worker, born_ms=1)
+            self.assertEqual(self.crashes(), (0, 0))
+
+    def test_a_culprit_is_given_up_whose_workers_come_back_to_another_coordinator(self) -> None:
+        """Guards against a task that is started for ever as each loss outlives its coordinator."""
+        for registered in (True, False):
+            with self.subTest(registered=registered):
+                self.setUp()
+                for number in range(MAX_CRASHES_ALONE):
+                    self.assertIn("a", self.tracker.jobs)
+                    with_worker = self.begin(f"w{number}")
+                    self.lose(with_worker, registered)
+                    self.take_over()
+                    self.hear_of(with_worker, born_ms=2)
+                    self.clock.move(WINDOW_MS + 1)
+                self.assertIs(self.tracker.recorded_progress("a")[0], JobState.FAILED)
+
+    def test_a_loss_that_is_confirmed_late_is_no_evidence(self) -> None:
+        with_worker = self.begin("w1")
+        self.lose(with_worker, registered=False)
+        self.clock.move(REVIEW_TIMEOUT_MS + 1)
+        self.take_over()
+        self.hear_of(with_worker, born_ms=2)
+        self.assertEqual(self.crashes(), (0, 1))
+
+    def test_a_task_waits_for_a_limited_number_of_workers(self) -> None:
+        for number in range(2 * MAX_OPEN_LOSSES):
+            self.lose(self.begin(f"w{number}"), registered=number != 1)
+        losses = self.tracker.jobs["a"].task(TASK).losses
+        self.assertEqual(len(losses), MAX_OPEN_LOSSES)
+        # The one that counts as a crash is among them.
+        self.assertEqual(self.crashes(), (0, 1))
+
     def test_a_culprit_whose_workers_come_back_late_is_given_up(self) -> None:
         """Guards against a task that is started for ever as each worker is away for a lease."""
         sessions = [self.begin("w0")]
@@ -132,9 +198,7 @@
         """Guards against blaming a task for the crash of a rack behind a cut."""
         neighbours = [job(f"n{number}", STEP) for number in range(3)]
         self.tracker = tracker_with(self.clock, job("a", STEP), *neighbours)
-        self.losses = RunLosses(
-            self.tracker, LossHooks(self.tracker.end_run, lambda *_: None), self.clock
-        )
+        self.losses = self.losses_of(self.tracker)
         lost = [self.begin("w1")]
         for each in neighbours:
             worker_id = f"w-{each.job_id}"
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -6,7 +6,7 @@
 
 import re
 from collections.abc import Iterable, Mapping
-from dataclasses import MISSING, dataclass, field, fields, is_dataclass, replace
+from dataclasses import MISSING, astuple, dataclass, field, fields, is_dataclass, replace
 from typing import Any
 
 import msgspec
@@ -20,6 +20,7 @@
     TaskPhase,
     TaskProgress,
     TaskRef,
+    WorkerLoss,
     job_problem,
 )
 from hornbeamfold.decoding import Count, DecodeError, decode_json
@@ -47,9 +48,12 @@
 
     Rows of `done`: occurrence, step and the indexes of all its completed tasks. Rows of `active`:
     occurrence, step, index, run, worker id, `born_ms` of the worker's incarnation, failures and
-    checkpoint. Rows of `waiting`: the same without the worker id and `born_ms`. Rows of `crashes`:
-    occurrence, step, index, crashes and those without evidence, of active and waiting tasks that
-    have any. Decoders that do not know `crashes` ignore it.
+    checkpoint. Rows of `waiting`: the same without the worker id and `born_ms`.
+
+    Active and waiting tasks may have further rows, which other versions ignore. Rows of `crashed`:
+    occurrence, step, index, known crashes and those without evidence. Rows of `lost`: occurrence,
+    step, index and the fields of a `WorkerLoss`. Rows of `crashes`, of an earlier version: as
+    `crashed`, but those without evidence may be cuts, and the workers are not known.
     """
 
     state: JobState
@@ -59,6 +63,10 @@
     )
     waiting: list[tuple[Count, Count, Count, Count, Count, str]] = field(default_factory=list)
     crashes: list[tuple[Count, Count, Count, Count, Count]] = field(default_factory=list)
+    crashed: list[tuple[Count, Count, Count, Count, Count]] = field(default_factory=list)
+    lost: list[tuple[Count, Count, Count, str, Count, Count, Count, bool, bool, bool]] = field(
+        default_factory=list
+    )
 
 
 @dataclass(frozen=True)
@@ -140,13 +148,15 @@
     done: dict[tuple[int, int], list[int]] = {}
     active: list[tuple[Any, ...]] = []
     waiting: list[tuple[Any, ...]] = []
-    crashes: list[tuple[Any, ...]] = []
+    crashed: list[tuple[Any, ...]] = []
+    lost: list[tuple[Any, ...]] = []
     for ref, task in tasks:
         if task.phase is TaskPhase.DONE:
             done.setdefault((ref.occurrence, ref.step), []).append(ref.index)
             continue
         if task.crashes:
-            crashes.append((*ref, task.crashes, task.vanished))
+            crashed.append((*ref, task.crashes, task.vanished))
+        lost.extend((*ref, *astuple(loss)) for loss in task.losses)
         if task.phase is TaskPhase.ACTIVE:
             active.append(
                 (*ref, task.run, task.worker_id, task.born_ms, task.failures, task.checkpoint)
@@ -157,7 +167,8 @@
         "done": [(*key, indexes) for key, indexes in done.items()],
         "active": active,
         "waiting": waiting,
-        "crashes": crashes,
+        "crashed": crashed,
+        "lost": lost,
     }
     return {name: listed for name, listed in rows.items() if listed}
 
@@ -178,9 +189,19 @@
             TaskPhase.WAITING, run, "", 0, failures, checkpoint
         )
     for occurrence, step, index, crashes, vanished in document.crashes:
+        ref = TaskRef(occurrence, step, index)
+        if ref in tasks:
+            # Nobody can tell any more which of the others were cuts.
+            tasks[ref] = replace(tasks[ref], crashes=max(0, crashes - vanished))
+    for occurrence, step, index, crashes, vanished in document.crashed:
         ref = TaskRef(occurrence, step, index)
         if ref in tasks:
             tasks[ref] = replace(tasks[ref], crashes=crashes, vanished=vanished)
+    for occurrence, step, index, worker, born, run, lost, alone, certain, counted in document.lost:
+        ref = TaskRef(occurrence, step, index)
+        if ref in tasks:
+            loss = WorkerLoss(worker, born, run, lost, alone, certain, counted)
+            tasks[ref] = replace(tasks[ref], losses=(*tasks[ref].losses, loss))
     return JobProgress(document.state, tasks)
 
 
--- a/libs/ledger/tests/test_codec.py
+++ b/libs/ledger/tests/test_codec.py
@@ -14,6 +14,7 @@
     TaskPhase,
     TaskProgress,
     TaskRef,
+    WorkerLoss,
 )
 from hornbeamfold.decoding import DecodeError
 from hornbeamfold.ledger import CoordinatorRecord, encode_coordinator, encode_job, encode_progress
@@ -35,7 +36,14 @@
 CRASHED = {
     TaskRef(0, 0, 0): TaskProgress(TaskPhase.ACTIVE, 2, "w1", 77, 1, "c", crashes=2, vanished=1),
     TaskRef(0, 0, 1): TaskProgress(TaskPhase.WAITING, 4, failures=2, checkpoint="d", crashes=3),
-    TaskRef(1, 0, 0): TaskProgress(TaskPhase.WAITING, 1),
+    TaskRef(1, 0, 0): TaskProgress(
+        TaskPhase.WAITING,
+        1,
+        losses=(
+            WorkerLoss("w1", 77, 1, 5_000, alone=True, certain=False, counted=True),
+            WorkerLoss("w2", 78, 3, 6_000, alone=False, certain=True, counted=False),
+        ),
+    ),
 }
 
 
@@ -86,6 +94,17 @@
         expected = TaskProgress(TaskPhase.WAITING, 4, failures=2, checkpoint="d")
         self.assertEqual(dict(decoded.tasks), {TaskRef(0, 0, 1): expected})
 
+    def test_an_earlier_version_tells_only_the_evidence(self) -> None:
+        """Guards against a job that fails for cuts which nobody can withdraw any more."""
+        document = {
+            "state": "running",
+            "waiting": [(0, 0, 0, 6, 0, ""), (0, 0, 1, 4, 0, "")],
+            "crashes": [(0, 0, 0, 4, 4), (0, 0, 1, 3, 1)],
+        }
+        tasks = decode_progress(msgspec.json.encode(document)).tasks
+        self.assertEqual(tasks[TaskRef(0, 0, 0)], TaskProgress(run=6))
+        self.assertEqual(tasks[TaskRef(0, 0, 1)], TaskProgress(run=4, crashes=2))
+
     def test_crashes_of_done_tasks_are_not_kept(self) -> None:
         done = {TaskRef(0, 0, 0): TaskProgress(TaskPhase.DONE, crashes=1)}
         value = encode_progress("a", JobState.RUNNING, done).value
