Bound what a planning pass offers and what is kept of occurrences

Cause: each pass made, sorted and tried a ready step of every occurrence that was due, 4.8 s in one piece, in which no lease was renewed and no heartbeat written. The tasks of one step were limited, the steps of a pass were not.

Change: StepProgress keeps two bytes for an occurrence of a step that has not begun or is done, and finds those that can be offered without going through the others. A pass offers 1,000 steps: of one step the oldest 64 occurrences that can be on time, that are late, and that are expired, and beyond that jobs take turns by organisation and urgency (JobRotation). On related paths: the end of a run looked at all tasks of its job, reading progress copied all of it for each part, and unread runs were looked for in all recorded tasks.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SECONDS ?= 60
 LIB ?=
 
-.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak replay
+.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak replay backlog
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
@@ -75,6 +75,9 @@
 replay: setup  ## Replay a recorded burst against the planner.
 	@$(PY) libs/coordinator/tests/load_replay.py $(or $(NAME),large-burst.json)
 
+backlog: setup  ## Measure planning passes and memory with many overdue occurrences, steps and jobs.
+	@$(PY) libs/coordinator/tests/backlog.py
+
 soak: setup  ## Run a soak test with faults on the emulated platform: make soak SECONDS=60 [SEED=n] [INSTANCES=n] [WORKERS=n] [NEWER=1] [CUTS=1]
 	$(PY) -m hornbeamfold.soak --seconds $(SECONDS) --logs target/soak $(if $(SEED),--seed $(SEED)) \
 	  $(if $(INSTANCES),--instances $(INSTANCES)) $(if $(WORKERS),--workers $(WORKERS)) \
--- a/libs/batch/src/hornbeamfold/batch/__init__.py
+++ b/libs/batch/src/hornbeamfold/batch/__init__.py
@@ -50,6 +50,7 @@
     stored_bytes,
 )
 from hornbeamfold.batch.progress import (
+    DONE,
     NOT_STARTED,
     TERMINAL_STATES,
     JobProgress,
@@ -73,6 +74,7 @@
 )
 
 __all__ = [
+    "DONE",
     "MAX_TASKS",
     "NOT_STARTED",
     "TERMINAL_STATES",
--- a/libs/batch/src/hornbeamfold/batch/plannable.py
+++ b/libs/batch/src/hornbeamfold/batch/plannable.py
@@ -3,7 +3,7 @@
 from hornbeamfold.batch.spec import BatchJob, Step
 
 MAX_TASKS = 10_000
-# The coordinator keeps each task of each occurrence in memory.
+# The coordinator keeps the progress of each task that was started, of steps that are not done.
 MAX_TASKS_OF_ALL_OCCURRENCES = 200_000
 # Sums and products of a job's numbers are converted to floating point.
 MAX_NUMBER = 2**53
--- a/libs/batch/src/hornbeamfold/batch/progress.py
+++ b/libs/batch/src/hornbeamfold/batch/progress.py
@@ -82,6 +82,7 @@
 
 
 NOT_STARTED = TaskProgress()
+DONE = TaskProgress(TaskPhase.DONE)
 
 
 @dataclass(frozen=True)
--- a/libs/batch/src/hornbeamfold/batch/spec.py
+++ b/libs/batch/src/hornbeamfold/batch/spec.py
@@ -114,6 +114,17 @@
             return self.submitted_ms
         return self.start_at_ms + occurrence * self.interval_ms
 
+    def occurrences_due(self, unix_ms: float) -> int:
+        """Return how many occurrences may start at a Unix time; they are the first ones."""
+        if not self.repetitions:
+            return 1
+        since_first_ms = unix_ms - self.start_at_ms
+        if since_first_ms < 0:
+            return 0
+        if self.interval_ms <= 0:
+            return self.repetitions
+        return min(self.repetitions, int(since_first_ms // self.interval_ms) + 1)
+
     def has_task(self, ref: TaskRef) -> bool:
         """Return whether the job has this task."""
         return (
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
@@ -46,23 +46,21 @@
         # The previous coordinator may have recorded progress of jobs that are not yet in this
         # replica.
         self._recorded_progress: dict[str, JobProgress] = {}
+        self._unread_runs: dict[str, dict[RunName, str]] = {}
         self._listening = False
 
     @property
     def unread_runs(self) -> Mapping[RunName, str]:
         """The workers of recorded runs whose jobs are not yet in the replica."""
         return {
-            RunName(job_id, ref, task.run): task.worker_id
-            for job_id, progress in self._recorded_progress.items()
-            for ref, task in progress.tasks.items()
-            if task.phase is TaskPhase.ACTIVE
+            name: worker_id
+            for runs in self._unread_runs.values()
+            for name, worker_id in runs.items()
         }
 
     def has_unread_run(self, name: RunName) -> bool:
         """Return whether a run is recorded as active, and its job is not yet in the replica."""
-        progress = self._recorded_progress.get(name.job_id)
-        task = progress.tasks.get(name.task) if progress is not None else None
-        return task is not None and task.phase is TaskPhase.ACTIVE and task.run == name.run
+        return name in self._unread_runs.get(name.job_id, {})
 
     def begin(self, progress_topic: TopicPort) -> bool:
         """Load the recorded progress and add all jobs; return whether the term continues."""
@@ -85,6 +83,9 @@
             loaded = load_progress(topic)
             if not isinstance(loaded, ReadFailed):
                 self._recorded_progress = loaded
+                self._unread_runs = {
+                    job_id: _active_runs(job_id, progress) for job_id, progress in loaded.items()
+                }
                 return self._hooks.is_active()
             logger.warning("progress_unreadable", extra={"reason": loaded.reason})
             eventlet.sleep(LOAD_RETRY_MS / 1_000)
@@ -96,6 +97,7 @@
         if job is None:
             return
         if job_id not in self._tracker.jobs:
+            self._unread_runs.pop(job_id, None)
             if self._replica.recorded_state(job_id) in TERMINAL_STATES:
                 if self._recorded_progress.pop(job_id, None) is not None:
                     self._hooks.on_end_known(job_id)
@@ -112,6 +114,15 @@
         self._hooks.on_change()
 
 
+def _active_runs(job_id: str, progress: JobProgress) -> dict[RunName, str]:
+    """Return the workers of the runs that are recorded as active."""
+    return {
+        RunName(job_id, ref, task.run): task.worker_id
+        for ref, task in progress.tasks.items()
+        if task.phase is TaskPhase.ACTIVE
+    }
+
+
 def _known_progress(job: BatchJob, progress: JobProgress) -> JobProgress:
     """Return the recorded progress without rows of tasks that the job does not have."""
     tasks = {ref: task for ref, task in progress.tasks.items() if job.has_task(ref)}
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -153,6 +153,10 @@
         """Return the runs of one job."""
         return tuple(self._runs[name] for name in self._runs_by_job.get(job_id, ()))
 
+    def has_runs_of(self, job_id: str) -> bool:
+        """Return whether a job has runs."""
+        return job_id in self._runs_by_job
+
     def is_gang_member(self, name: RunName) -> bool:
         """Return whether a run belongs to a gang-scheduled step."""
         tracked = self._jobs.get(name.job_id)
@@ -400,8 +404,10 @@
 
     def open_losses(self, worker_id: str) -> tuple[OpenLoss, ...]:
         """Return the losses of a worker, also of earlier terms, that are not decided yet."""
+        if worker_id not in self._lost_tasks:
+            return ()
         found: list[OpenLoss] = []
-        for job_id, ref in sorted(self._lost_tasks.get(worker_id, ())):
+        for job_id, ref in sorted(self._lost_tasks[worker_id]):
             tracked = self._jobs.get(job_id)
             if tracked is None:
                 continue
@@ -410,6 +416,9 @@
                 for loss in tracked.task(ref).losses
                 if loss.worker_id == worker_id
             )
+        if not found:
+            # The tasks have ended since.
+            del self._lost_tasks[worker_id]
         return tuple(found)
 
     def confirm_crash(self, lost: OpenLoss, evident: bool) -> tuple[RunName, ...]:
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -1,32 +1,37 @@
 """Builds the inputs of a planning pass from the job tracker and the worker sessions."""
 
-from collections.abc import Iterable
+from collections import deque
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from collections.abc import Set as AbstractSet
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from heapq import nsmallest
+from itertools import islice
 from math import inf
 
 from hornbeamfold.batch import Bounds, OperatorState, RunName, Step
 from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.session import Session
+from hornbeamfold.coordinator.step_progress import StepKey
 from hornbeamfold.coordinator.stragglers import remaining_ms
-from hornbeamfold.coordinator.tracked import TrackedJob
+from hornbeamfold.coordinator.tracked import MAX_OFFERED_TASKS, TrackedJob
 from hornbeamfold.scheduling import CandidateWorker, PlacedRun, ReadyStep, weighted_cores
 
-# The tasks of one step that a pass may place. More are not started at once, and a pass must not
-# take longer because many wait.
-MAX_OFFERED_TASKS = 512
+# The ready steps that one pass offers, each of which costs time, and those that a job offers before
+# other jobs have their turns.
+MAX_OFFERED_STEPS = 1_000
+STEPS_PER_TURN = 32
 # The lower bound of the assumed remaining time, as estimates are often too short.
 MIN_REMAINING_MS = 500
 # Workers report progress about once a second.
 MAX_ESTIMATE_AGE_MS = 1_000
-# Callers have given a job up that takes this many times as long as its objective.
-EXPIRY_FACTOR = 3
 # A task that must run alone is placed like any other after this wait for an idle worker: a full
 # service may have none for hours.
 MAX_ISOLATION_WAIT_MS = 10_000
 
+StartableStep = tuple[int, int, Collection[int]]  # occurrence, step and waiting tasks
+
 
 def candidate_workers(
     sessions: Iterable[Session], tracker: JobTracker, health: WorkerHealth, operator: OperatorState
@@ -59,6 +64,16 @@
     return found
 
 
+@dataclass(frozen=True)
+class _Moment:
+    """When a pass plans, with how many workers, and the jobs that have a guarantee then."""
+
+    unix_ms: int
+    now_ms: int
+    worker_count: int
+    entitled: AbstractSet[str]
+
+
 def ready_steps(
     tracker: JobTracker,
     operator: OperatorState,
@@ -66,42 +81,68 @@
     now_ms: int,
     bounds: Bounds,
     worker_count: int,
+    rotation: JobRotation | None = None,
 ) -> list[ReadyStep]:
-    """Return the steps with tasks that may start now."""
-    entitled = entitled_jobs(tracker, operator)
+    """Return steps with tasks that may start now, as many as one pass may place.
+
+    With a `rotation`, the jobs that are left out are offered by the next passes.
+    """
+    moment = _Moment(unix_ms, now_ms, worker_count, entitled_jobs(tracker, operator))
     found: list[ReadyStep] = []
-    for job_id, tracked in tracker.jobs.items():
-        for occurrence, index, waiting in tracked.startable_tasks(unix_ms, bounds.early_ms):
-            step = tracked.job.steps[index]
-            placed_on = _runs_by_worker(tracker, tracked, occurrence, index)
-            if step.gang and (placed_on or len(waiting) < step.count):
-                continue
-            start_unix_ms = tracked.job.earliest_start_ms(occurrence)
-            objective_ms = tracked.job.stretch * tracked.critical_path_ms + tracked.job.slack_ms
-            avoid = tracked.avoided_workers(occurrence, index)
-            expired_unix_ms = start_unix_ms + EXPIRY_FACTOR * objective_ms
-            ready_ms = tracked.ready_since(occurrence, index, now_ms)
-            ready = ReadyStep(
-                tracked.job,
-                occurrence,
-                index,
-                _offered_tasks(step, waiting),
-                ready_ms,
-                now_ms + int(start_unix_ms + objective_ms - unix_ms),
-                job_id in entitled,
-                # Long-running tasks are needed until their job is cancelled.
-                inf if step.long_running else now_ms + expired_unix_ms - unix_ms,
-                _idle_since(tracker, tracked, occurrence, index, ready_ms),
-                placed_on,
-                # With half of the workers or more to avoid, none are avoided: a worker on which a
-                # task failed is better than none.
-                avoid if len(avoid) * 2 < worker_count else frozenset(),
-            )
+    turns = (rotation or JobRotation()).in_turns(tracker.jobs)
+    unfinished: deque[tuple[TrackedJob, Iterator[StartableStep]]] = deque()
+    while len(found) < MAX_OFFERED_STEPS:
+        tracked = next(turns, None)
+        if tracked is not None:
+            startable = tracked.startable_tasks(unix_ms, bounds.early_ms)
+        elif unfinished:
+            tracked, startable = unfinished.popleft()
+        else:
+            break
+        taken = list(islice(startable, STEPS_PER_TURN))
+        if len(taken) == STEPS_PER_TURN:
+            unfinished.append((tracked, startable))
+        for ready in _ready_steps_of(tracker, tracked, taken, moment):
             found.extend(_split_isolated(ready, tracked, now_ms))
     return found
 
 
-def _offered_tasks(step: Step, waiting: AbstractSet[int]) -> tuple[int, ...]:
+def _ready_steps_of(
+    tracker: JobTracker, tracked: TrackedJob, startable: Sequence[StartableStep], moment: _Moment
+) -> Iterable[ReadyStep]:
+    """Yield the steps of one job that may start."""
+    if not startable:
+        return
+    job = tracked.job
+    placed_runs = _runs_by_worker(tracker, tracked)
+    for occurrence, index, waiting in startable:
+        step = job.steps[index]
+        placed_on = placed_runs.get((occurrence, index), {})
+        if step.gang and (placed_on or len(waiting) < step.count):
+            continue
+        # The start of the occurrence on the coordinator's clock.
+        start_ms = moment.now_ms + job.earliest_start_ms(occurrence) - moment.unix_ms
+        ready_ms = tracked.ready_since(occurrence, index, moment.now_ms)
+        avoid = tracked.avoided_workers(occurrence, index)
+        yield ReadyStep(
+            job,
+            occurrence,
+            index,
+            _offered_tasks(step, waiting),
+            ready_ms,
+            int(start_ms + tracked.objective_ms),
+            job.job_id in moment.entitled,
+            # Long-running tasks are needed until their job is cancelled.
+            inf if step.long_running else start_ms + tracked.expiry_ms,
+            _idle_since(tracker, tracked, occurrence, index, ready_ms),
+            placed_on,
+            # With half of the workers or more to avoid, none are avoided: a worker on which a task
+            # failed is better than none.
+            avoid if len(avoid) * 2 < moment.worker_count else frozenset(),
+        )
+
+
+def _offered_tasks(step: Step, waiting: Collection[int]) -> tuple[int, ...]:
     """Return the waiting tasks that a pass may place: the first ones, or all of a gang."""
     if step.gang or len(waiting) <= MAX_OFFERED_TASKS:
         return tuple(sorted(waiting))
@@ -115,7 +156,7 @@
 
     Tasks that run until their job is cancelled are each needed, whatever else of the job runs.
     """
-    if not tracked.job.steps[index].long_running and tracker.runs_of(tracked.job.job_id):
+    if not tracked.job.steps[index].long_running and tracker.has_runs_of(tracked.job.job_id):
         return None
     return tracked.idle_since(occurrence, index, ready_ms)
 
@@ -140,17 +181,18 @@
         yield replace(ready, waiting=tuple(isolated), isolated=True)
 
 
-def _runs_by_worker(
-    tracker: JobTracker, tracked: TrackedJob, occurrence: int, index: int
-) -> dict[str, int]:
-    """Count the active runs of a step by worker, if its placement depends on them."""
-    placed: dict[str, int] = {}
-    step = tracked.job.steps[index]
-    if not (step.gang or step.one_rack or step.max_per_worker):
+def _runs_by_worker(tracker: JobTracker, tracked: TrackedJob) -> dict[StepKey, dict[str, int]]:
+    """Count the active runs of a job by step and worker, of steps whose placement needs them."""
+    placed: dict[StepKey, dict[str, int]] = {}
+    steps = tracked.job.steps
+    if not any(step.gang or step.one_rack or step.max_per_worker for step in steps):
         return placed
     for run in tracker.runs_of(tracked.job.job_id):
-        if run.name.task.step == index and run.name.task.occurrence == occurrence:
-            placed[run.worker_id] = placed.get(run.worker_id, 0) + 1
+        step = steps[run.name.task.step]
+        if not (step.gang or step.one_rack or step.max_per_worker):
+            continue
+        counts = placed.setdefault(run.name.task[:2], {})
+        counts[run.worker_id] = counts.get(run.worker_id, 0) + 1
     return placed
 
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -25,11 +25,17 @@
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_intake import IntakeHooks, JobIntake
+from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.lease import MIN_CLOCK_RATE, lease_ms
 from hornbeamfold.coordinator.orders import OrderHooks
-from hornbeamfold.coordinator.planner_inputs import PlacedRuns, candidate_workers, ready_steps
+from hornbeamfold.coordinator.planner_inputs import (
+    MAX_OFFERED_STEPS,
+    PlacedRuns,
+    candidate_workers,
+    ready_steps,
+)
 from hornbeamfold.coordinator.reports import ReportDependencies, WorkerReports
 from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
 from hornbeamfold.coordinator.session import (
@@ -104,6 +110,8 @@
         self._health = WorkerHealth(deps.clock)
         self._urgent_demand = UrgentDemand()
         self._placed_runs = PlacedRuns()
+        self._rotation = JobRotation()
+        self._offers_limited = False
         self._wait_log = WaitLog(deps.clock)
         self._losses = RunLosses(
             self._tracker,
@@ -431,8 +439,15 @@
         ]
         candidates = candidate_workers(sessions, self._tracker, self._health, operator)
         steps = ready_steps(
-            self._tracker, operator, self._deps.wall(), began, self._deps.bounds, len(candidates)
+            self._tracker,
+            operator,
+            self._deps.wall(),
+            began,
+            self._deps.bounds,
+            len(candidates),
+            self._rotation,
         )
+        self._log_limited_offers(len(steps))
         if not steps:
             return
         self._urgent_demand.record(steps, began)
@@ -446,6 +461,17 @@
         )
         self._execute(new_plan)
 
+    def _log_limited_offers(self, steps: int) -> None:
+        """Log when passes begin or cease to leave out steps that are ready."""
+        limited = steps >= MAX_OFFERED_STEPS
+        if limited is self._offers_limited:
+            return
+        self._offers_limited = limited
+        logger.warning(
+            "offers_limited" if limited else "offers_complete",
+            extra={"steps": steps, "jobs": len(self._tracker.jobs)},
+        )
+
     def _execute(self, new_plan: Plan) -> None:
         for preemption in new_plan.preemptions:
             logger.info(
@@ -458,4 +484,8 @@
                 },
             )
         self._stop_all([each.name for each in new_plan.preemptions], "preempted")
+        # A pass offers only some of the occurrences that are due, so the next one follows soon.
+        jobs = self._tracker.jobs
+        if any(jobs[each.job_id].job.scheduled for each in new_plan.assignments):
+            self._notify()
         self._starter.begin(new_plan.assignments)
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -1,10 +1,12 @@
 """The state of a tracked job: task progress, startable tasks and the effects of ended runs."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from collections.abc import Set as AbstractSet
 from dataclasses import replace
+from itertools import islice
 
 from hornbeamfold.batch import (
+    DONE,
     NOT_STARTED,
     TERMINAL_STATES,
     BatchJob,
@@ -17,6 +19,7 @@
     TaskRef,
     WorkerLoss,
 )
+from hornbeamfold.coordinator.step_progress import StepKey, StepProgress
 from hornbeamfold.ledger import task_parts
 
 # After this many crashes of its workers a task runs alone on a worker.
@@ -30,6 +33,12 @@
 MAX_CRASHES_WITHOUT_EVIDENCE = 5
 # The workers of a task that are waited for at the same time to learn what became of them.
 MAX_OPEN_LOSSES = 8
+# Callers have given a job up that takes this many times as long as its objective.
+EXPIRY_FACTOR = 3
+# The occurrences of one step that a pass may place, and the tasks of one or several occurrences.
+# More are not started at once, and a pass must not take longer because many wait.
+MAX_OFFERED_OCCURRENCES = 64
+MAX_OFFERED_TASKS = 512
 # A long-running task sees many workers crash. A run that has lasted for this long clears its task.
 CLEARING_RUN_MS = 60_000
 
@@ -40,42 +49,51 @@
     def __init__(self, job: BatchJob, progress: JobProgress) -> None:
         self._job = job
         self._state = progress.state
-        self._tasks: dict[TaskRef, TaskProgress] = dict(progress.tasks)
-        self._done_counts: dict[tuple[int, int], int] = {}
-        self._waiting: dict[tuple[int, int], set[int]] = {}
-        self._ready_ms: dict[tuple[int, int], int] = {}
+        self._steps = StepProgress(job)
+        # The tasks that were started, of steps that are not done. The entries of a step are removed
+        # from all of these when it is done.
+        self._tasks: dict[TaskRef, TaskProgress] = {}
+        self._ready_ms: dict[StepKey, int] = {}
         self._run_end_ms: dict[TaskRef, int] = {}
         self._last_run_end_ms = 0
-        self._avoided_workers: dict[tuple[int, int], dict[str, None]] = {}
-        self._durations_ms: dict[tuple[int, int], list[int]] = {}
+        self._avoided_workers: dict[StepKey, dict[str, None]] = {}
+        self._durations_ms: dict[StepKey, list[int]] = {}
         # The tasks that must run alone, and since when each of them has waited for that.
-        self._isolated: dict[tuple[int, int], set[int]] = {}
+        self._isolated: dict[StepKey, set[int]] = {}
         self._isolated_since_ms: dict[TaskRef, int] = {}
+        # Where the next pass begins to offer steps, if the last one left some out.
+        self._next_offered_step = 0
         self._critical_path_ms = estimate_critical_path_ms(job)
         self._parts = task_parts(job)
         self._recorded_state = progress.state
         # Parts that the store does not have yet, and later those that have changed.
-        self._changed_parts = {self._parts.part_of(ref) for ref in self._tasks} - progress.parts
-        self._unfinished_tasks = 0
-        for occurrence in range(job.occurrences):
-            for index, step in enumerate(job.steps):
-                self._index_step(occurrence, index, step.count)
-
-    def _index_step(self, occurrence: int, step: int, count: int) -> None:
-        done = 0
-        waiting: set[int] = set()
-        for index in range(count):
-            task = self.task(TaskRef(occurrence, step, index))
-            if task.suspected_crashes >= ISOLATION_CRASHES:
-                self._isolated.setdefault((occurrence, step), set()).add(index)
-            phase = task.phase
-            if phase is TaskPhase.DONE:
-                done += 1
-            elif phase is TaskPhase.WAITING:
-                waiting.add(index)
-        self._done_counts[occurrence, step] = done
-        self._waiting[occurrence, step] = waiting
-        self._unfinished_tasks += count - done
+        self._changed_parts = {self._parts.part_of(ref) for ref in progress.tasks} - progress.parts
+        for ref, task in progress.tasks.items():
+            self._load(ref, task)
+
+    def _load(self, ref: TaskRef, task: TaskProgress) -> None:
+        """Add the recorded progress of a task."""
+        self._tasks[ref] = task
+        if task.phase is TaskPhase.DONE:
+            self._finish_task(ref)
+            return
+        if task.suspected_crashes >= ISOLATION_CRASHES:
+            self._isolated.setdefault((ref.occurrence, ref.step), set()).add(ref.index)
+        if task.phase is TaskPhase.ACTIVE:
+            self._steps.begin(ref)
+
+    def _finish_task(self, ref: TaskRef) -> None:
+        """Record that a task is done, and drop what is kept of its step if all are."""
+        if not self._steps.finish(ref):
+            return
+        key = (ref.occurrence, ref.step)
+        for kept in (self._ready_ms, self._avoided_workers, self._durations_ms, self._isolated):
+            kept.pop(key, None)
+        for index in range(self._job.steps[ref.step].count):
+            member = TaskRef(*key, index)
+            self._tasks.pop(member, None)
+            self._run_end_ms.pop(member, None)
+            self._isolated_since_ms.pop(member, None)
 
     @property
     def job(self) -> BatchJob:
@@ -94,7 +112,7 @@
 
     @property
     def tasks(self) -> Mapping[TaskRef, TaskProgress]:
-        """The progress of the tasks for which a run was recorded."""
+        """The progress of the tasks for which a run was recorded, of steps that are not done."""
         return self._tasks
 
     @property
@@ -102,8 +120,20 @@
         """The estimated duration of the critical path of steps."""
         return self._critical_path_ms
 
+    @property
+    def objective_ms(self) -> float:
+        """The time from the start of an occurrence to its end that callers expect."""
+        return self._job.stretch * self._critical_path_ms + self._job.slack_ms
+
+    @property
+    def expiry_ms(self) -> float:
+        """The time from the start of an occurrence after which callers have given it up."""
+        return EXPIRY_FACTOR * self.objective_ms
+
     def task(self, ref: TaskRef) -> TaskProgress:
         """Return the progress of a task."""
+        if self._steps.is_done(ref.occurrence, ref.step):
+            return DONE
         return self._tasks.get(ref, NOT_STARTED)
 
     def _set_task(self, ref: TaskRef, task: TaskProgress) -> None:
@@ -121,29 +151,52 @@
             changed.add(0)
         return {
             part: {
-                ref: self._tasks[ref] for ref in self._parts.tasks_of(part) if ref in self._tasks
+                ref: task
+                for ref in self._parts.tasks_of(part)
+                if (task := self.task(ref)) is not NOT_STARTED
             }
             for part in sorted(changed)
         }
 
-    def startable_tasks(self, unix_ms: int, early_ms: int) -> Iterable[tuple[int, int, set[int]]]:
-        """Yield occurrence, step and task indexes of the steps whose dependencies are done.
+    def startable_tasks(
+        self, unix_ms: int, early_ms: int
+    ) -> Iterator[tuple[int, int, Collection[int]]]:
+        """Yield occurrence, step and task indexes of steps whose dependencies are done.
 
-        Occurrences of scheduled jobs are included from `early_ms` before their time.
+        Occurrences of scheduled jobs are included from `early_ms` before their time. If the caller
+        does not take all, the next call begins with the step behind the last one.
         """
-        for occurrence in range(self._job.occurrences):
-            if self._job.scheduled and unix_ms < self._job.earliest_start_ms(occurrence) - early_ms:
-                break
-            for index, step in enumerate(self._job.steps):
-                waiting = self._waiting[occurrence, index]
-                if not waiting:
-                    continue
-                if all(self.step_done(occurrence, each) for each in step.after):
-                    yield occurrence, index, waiting
-
-    def step_done(self, occurrence: int, step: int) -> bool:
-        """Return whether all tasks of a step are done."""
-        return self._done_counts[occurrence, step] == self._job.steps[step].count
+        due = self._job.occurrences_due(unix_ms + early_ms)
+        count = len(self._job.steps)
+        begin = self._next_offered_step
+        for number in range(begin, begin + count):
+            step = number % count
+            self._next_offered_step = (step + 1) % count
+            for occurrence in self._offered_occurrences(step, unix_ms, due):
+                yield occurrence, step, self._steps.waiting(occurrence, step)
+        self._next_offered_step = 0
+
+    def _offered_occurrences(self, index: int, unix_ms: int, due: int) -> Iterator[int]:
+        """Yield the occurrences of a step that a pass may place, of those that are due.
+
+        They are the first ones that end on time if they start now, the first that are late, and the
+        first that nobody waits for any more. All occurrences of a step need the same room, so
+        those behind them would not be placed either.
+        """
+        step = self._job.steps[index]
+        late = expired = 0
+        if self._job.scheduled and not step.long_running:
+            end_ms = unix_ms + step.estimate_ms
+            late = min(due, self._job.occurrences_due(end_ms - self.objective_ms))
+            expired = min(due, self._job.occurrences_due(end_ms - self.expiry_ms))
+        for first, end in ((late, due), (expired, late), (0, expired)):
+            offered_tasks = 0
+            offerable = self._steps.offerable(index, first, end)
+            for occurrence in islice(offerable, MAX_OFFERED_OCCURRENCES):
+                yield occurrence
+                offered_tasks += len(self._steps.waiting(occurrence, index))
+                if offered_tasks >= MAX_OFFERED_TASKS:
+                    break
 
     def ready_since(self, occurrence: int, step: int, now_ms: int) -> int:
         """Return when the step became ready; the first call sets it to `now_ms`."""
@@ -151,7 +204,8 @@
 
     def record_run_end(self, ref: TaskRef, now_ms: int) -> None:
         """Record when a run of this task ended."""
-        self._run_end_ms[ref] = now_ms
+        if self._job.steps[ref.step].long_running:
+            self._run_end_ms[ref] = now_ms
         self._last_run_end_ms = now_ms
 
     def idle_since(self, occurrence: int, step: int, ready_ms: int) -> int:
@@ -163,7 +217,7 @@
             return max(ready_ms, self._last_run_end_ms)
         return min(
             max(ready_ms, self._run_end_ms.get(TaskRef(occurrence, step, index), 0))
-            for index in self._waiting[occurrence, step]
+            for index in self._steps.waiting(occurrence, step)
         )
 
     @property
@@ -189,10 +243,14 @@
 
     def avoid_worker(self, ref: TaskRef, worker_id: str) -> None:
         """Avoid a worker for the tasks of this step while others are available."""
+        if self._steps.is_done(ref.occurrence, ref.step):
+            return
         self._avoided_workers.setdefault((ref.occurrence, ref.step), {})[worker_id] = None
 
     def add_duration(self, ref: TaskRef, took_ms: int) -> None:
         """Record how long a task of this step took from the begin of its run to the end."""
+        if self._steps.is_done(ref.occurrence, ref.step):
+            return
         self._durations_ms.setdefault((ref.occurrence, ref.step), []).append(took_ms)
 
     def durations_ms(self, occurrence: int, step: int) -> tuple[int, ...]:
@@ -205,7 +263,7 @@
             self.task(ref), phase=TaskPhase.ACTIVE, run=run, worker_id=worker_id, born_ms=born_ms
         )
         self._set_task(ref, task)
-        self._waiting[ref.occurrence, ref.step].discard(ref.index)
+        self._steps.begin(ref)
         self._isolated_since_ms.pop(ref, None)
         if self._state is JobState.PENDING:
             self._state = JobState.RUNNING
@@ -332,40 +390,38 @@
             self._set_waiting(ref, replace(task, failures=failures))
             if checkpoint:
                 self._set_checkpoint(ref, checkpoint)
-        self._update_state()
+        self._update_state(ref)
         return True
 
     def _set_done(self, ref: TaskRef) -> None:
         task = self.task(ref)
         if task.phase is TaskPhase.DONE:
             return
-        self._set_task(ref, replace(task, phase=TaskPhase.DONE, checkpoint=""))
         self._clear_crashes(ref)
-        self._waiting[ref.occurrence, ref.step].discard(ref.index)
-        self._done_counts[ref.occurrence, ref.step] += 1
-        self._unfinished_tasks -= 1
+        self._set_task(ref, DONE)
+        self._finish_task(ref)
 
     def _set_waiting(self, ref: TaskRef, task: TaskProgress) -> None:
         self._set_task(ref, replace(task, phase=TaskPhase.WAITING, worker_id="", born_ms=0))
-        self._waiting[ref.occurrence, ref.step].add(ref.index)
+        self._steps.wait(ref)
 
     def _set_checkpoint(self, ref: TaskRef, checkpoint: str) -> None:
         """Store a checkpoint; all members of a gang resume from the same one."""
         for member in self.gang_refs(ref):
             self._set_task(member, replace(self.task(member), checkpoint=checkpoint))
 
-    def _update_state(self) -> None:
+    def _update_state(self, ref: TaskRef) -> None:
+        """Update the state of the job after the end of a run of this task."""
         if self.ended:
             return
-        if self._unfinished_tasks == 0:
+        if not self._steps.unfinished_tasks:
             self._state = JobState.COMPLETED
             return
-        for ref, task in self._tasks.items():
-            if self._job.steps[ref.step].long_running:
-                continue
-            if task.failures >= self._job.max_attempts and task.phase is not TaskPhase.DONE:
-                self._state = JobState.FAILED
-                return
+        task = self.task(ref)
+        if self._job.steps[ref.step].long_running or task.phase is TaskPhase.DONE:
+            return
+        if task.failures >= self._job.max_attempts:
+            self._state = JobState.FAILED
 
     def cancel(self) -> None:
         """Mark the job as cancelled unless it has ended."""
--- a/libs/coordinator/tests/load_replay.py
+++ b/libs/coordinator/tests/load_replay.py
@@ -31,8 +31,8 @@
 )
 from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
-from hornbeamfold.coordinator.planner_inputs import EXPIRY_FACTOR, PlacedRuns, ready_steps
-from hornbeamfold.coordinator.tracked import estimate_critical_path_ms
+from hornbeamfold.coordinator.planner_inputs import PlacedRuns, ready_steps
+from hornbeamfold.coordinator.tracked import EXPIRY_FACTOR, estimate_critical_path_ms
 from hornbeamfold.scheduling import (
     Assignment,
     CandidateWorker,
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from hornbeamfold.batch import (
+    DONE,
     TERMINAL_STATES,
     BatchJob,
     JobProgress,
@@ -179,7 +180,7 @@
     tasks: dict[TaskRef, TaskProgress] = {}
     for occurrence, step, indexes in document.done:
         for index in indexes:
-            tasks[TaskRef(occurrence, step, index)] = TaskProgress(TaskPhase.DONE)
+            tasks[TaskRef(occurrence, step, index)] = DONE
     for occurrence, step, index, run, worker, born, failures, checkpoint in document.active:
         tasks[TaskRef(occurrence, step, index)] = TaskProgress(
             TaskPhase.ACTIVE, run, worker, born, failures, checkpoint
--- a/libs/ledger/src/hornbeamfold/ledger/progress.py
+++ b/libs/ledger/src/hornbeamfold/ledger/progress.py
@@ -1,6 +1,17 @@
 """Loads the progress of all jobs from the topic that only the coordinator writes."""
 
-from hornbeamfold.batch import JobProgress, KeyedRecord, ReadFailed, TopicPort
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from hornbeamfold.batch import (
+    JobProgress,
+    JobState,
+    KeyedRecord,
+    ReadFailed,
+    TaskProgress,
+    TaskRef,
+    TopicPort,
+)
 from hornbeamfold.decoding import DecodeError
 from hornbeamfold.ledger.codec import decode_progress, parse_progress_key
 from hornbeamfold.telemetry import get_logger
@@ -8,12 +19,35 @@
 logger = get_logger("hornbeamfold.ledger.progress")
 
 
+@dataclass
+class _Parts:
+    """The parts of the progress of a job that have been read so far."""
+
+    state: JobState
+    tasks: dict[TaskRef, TaskProgress] = field(default_factory=dict)
+    numbers: set[int] = field(default_factory=set)
+
+    def add(self, part: int, state: JobState, tasks: Mapping[TaskRef, TaskProgress]) -> None:
+        """Add the tasks of a part.
+
+        The first part has the present state. It may have rows of all tasks, as it had before
+        records were divided; those of other parts are newer.
+        """
+        self.numbers.add(part)
+        if part > 0:
+            self.tasks.update(tasks)
+            return
+        self.state = state
+        for ref, task in tasks.items():
+            self.tasks.setdefault(ref, task)
+
+
 def load_progress(topic: TopicPort) -> dict[str, JobProgress] | ReadFailed:
     """Return the recorded progress by job id.
 
     The pages are not one consistent snapshot, so there must be no writes while they are read.
     """
-    found: dict[str, JobProgress] = {}
+    found: dict[str, _Parts] = {}
     after = ""
     while True:
         page = topic.newest(after)
@@ -22,11 +56,14 @@
         for record in page.records:
             _add_part(found, record)
         if not page.has_more:
-            return found
+            return {
+                job_id: JobProgress(parts.state, parts.tasks, frozenset(parts.numbers))
+                for job_id, parts in found.items()
+            }
         after = page.records[-1].key
 
 
-def _add_part(found: dict[str, JobProgress], record: KeyedRecord) -> None:
+def _add_part(found: dict[str, _Parts], record: KeyedRecord) -> None:
     """Add the tasks of a progress record to those of its job."""
     key = parse_progress_key(record.key)
     if key is None:
@@ -40,11 +77,5 @@
             extra={"key": record.key, "offset": record.offset, "error": str(error)},
         )
         return
-    known = found.get(job_id, JobProgress(progress.state))
-    # The first part has the present state. It may have rows of all tasks, as it had before records
-    # were divided; those of other parts are newer.
-    if part == 0:
-        state, tasks = progress.state, {**progress.tasks, **known.tasks}
-    else:
-        state, tasks = known.state, {**known.tasks, **progress.tasks}
-    found[job_id] = JobProgress(state, tasks, known.parts | {part})
+    parts = found.setdefault(job_id, _Parts(progress.state))
+    parts.add(part, progress.state, progress.tasks)
