Split planning, crash counts and open losses from larger modules

PassPlanner plans a pass and keeps what is estimated from former ones, crash_counts has the decisions on crashes as functions of a task's progress, and OpenLosses finds losses by worker. No change in behaviour.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -21,6 +21,7 @@
     WorkerLoss,
 )
 from hornbeamfold.coordinator.crash_history import SuspectKey
+from hornbeamfold.coordinator.open_losses import OpenLoss, OpenLosses
 from hornbeamfold.coordinator.tracked import TrackedJob
 from hornbeamfold.model import check_invariant
 from hornbeamfold.telemetry import counter, get_logger
@@ -92,14 +93,6 @@
         return (now_ms - self.begun_ms) * 100 / (self.percent - self.from_percent)
 
 
-@dataclass(frozen=True)
-class OpenLoss:
-    """A run that was lost with its worker, and the recorded loss."""
-
-    name: RunName
-    loss: WorkerLoss
-
-
 class JobTracker:
     """Jobs and runs of one term; every change marks its job to be recorded by the journal."""
 
@@ -112,8 +105,7 @@
         self._reserved: dict[str, Resources] = {}
         self._changed: set[str] = set()
         self._final_states: dict[str, JobState] = {}
-        # The tasks that have a loss of each worker.
-        self._lost_tasks: dict[str, set[tuple[str, TaskRef]]] = {}
+        self._open_losses = OpenLosses(self._jobs)
 
     @property
     def jobs(self) -> Mapping[str, TrackedJob]:
@@ -178,10 +170,9 @@
             return
         tracked = TrackedJob(job, progress)
         self._jobs[job.job_id] = tracked
+        self._open_losses.add_all(tracked)
         now = self._clock()
         for ref, task in tracked.tasks.items():
-            for loss in task.losses:
-                self._lost_tasks.setdefault(loss.worker_id, set()).add((job.job_id, ref))
             if task.phase is not TaskPhase.ACTIVE:
                 continue
             # The run counts as settled: workers refuse the orders of an earlier coordinator once
@@ -398,28 +389,13 @@
     def _keep_loss(self, run: Run, tracked: TrackedJob | None, loss: WorkerLoss) -> None:
         if tracked is None or not tracked.add_loss(run.name, loss, run.listed_for_ms):
             return
-        self._lost_tasks.setdefault(run.worker_id, set()).add((run.name.job_id, run.name.task))
+        self._open_losses.add(run.name.job_id, run.name.task, loss)
         if loss.counted:
             _log_crash(tracked, run.name, run.worker_id, loss.alone, evident=False)
 
     def open_losses(self, worker_id: str) -> tuple[OpenLoss, ...]:
-        """Return the losses of a worker, also of earlier terms, that are not decided yet."""
-        if worker_id not in self._lost_tasks:
-            return ()
-        found: list[OpenLoss] = []
-        for job_id, ref in sorted(self._lost_tasks[worker_id]):
-            tracked = self._jobs.get(job_id)
-            if tracked is None:
-                continue
-            found.extend(
-                OpenLoss(RunName(job_id, ref, loss.run), loss)
-                for loss in tracked.task(ref).losses
-                if loss.worker_id == worker_id
-            )
-        if not found:
-            # The tasks have ended since.
-            del self._lost_tasks[worker_id]
-        return tuple(found)
+        """Return the losses of a worker, also those that earlier coordinators recorded."""
+        return self._open_losses.of_worker(worker_id)
 
     def confirm_crash(self, lost: OpenLoss, evident: bool) -> tuple[RunName, ...]:
         """Count the crash of a worker that is known only after the run on it was lost.
@@ -427,7 +403,7 @@
         Returns the runs that must be stopped because of it.
         """
         tracked = self._jobs.get(lost.name.job_id)
-        self._forget_loss(lost)
+        self._open_losses.remove(lost.name.job_id, lost.name.task, lost.loss)
         if tracked is None:
             return ()
         tracked.confirm_crash(lost.name.task, lost.loss, evident)
@@ -438,7 +414,7 @@
     def withdraw_loss(self, lost: OpenLoss) -> None:
         """Remove the loss of a worker that was only cut off."""
         tracked = self._jobs.get(lost.name.job_id)
-        self._forget_loss(lost)
+        self._open_losses.remove(lost.name.job_id, lost.name.task, lost.loss)
         if tracked is None:
             return
         tracked.withdraw_loss(lost.name.task, lost.loss)
@@ -456,12 +432,6 @@
             },
         )
 
-    def _forget_loss(self, lost: OpenLoss) -> None:
-        tasks = self._lost_tasks.get(lost.loss.worker_id, set())
-        tasks.discard((lost.name.job_id, lost.name.task))
-        if not tasks:
-            self._lost_tasks.pop(lost.loss.worker_id, None)
-
     def _mark_gang_done(self, tracked: TrackedJob, name: RunName) -> None:
         now = self._clock()
         for other in self._remaining_gang_members(tracked, name):
@@ -478,9 +448,7 @@
     def _close_job(self, tracked: TrackedJob) -> tuple[RunName, ...]:
         job_id = tracked.job.job_id
         self._final_states[job_id] = tracked.state
-        for ref, task in tracked.tasks.items():
-            for loss in task.losses:
-                self._forget_loss(OpenLoss(RunName(job_id, ref, loss.run), loss))
+        self._open_losses.remove_all(tracked)
         del self._jobs[job_id]
         self._changed.add(job_id)
         logger.info("job_ended", extra={"request": job_id, "state": tracked.state.value})
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -21,21 +21,14 @@
     WorkerPort,
 )
 from hornbeamfold.coordinator.announcer import Announcer
-from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_intake import IntakeHooks, JobIntake
-from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.lease import MIN_CLOCK_RATE, lease_ms
 from hornbeamfold.coordinator.orders import OrderHooks
-from hornbeamfold.coordinator.planner_inputs import (
-    MAX_OFFERED_STEPS,
-    PlacedRuns,
-    candidate_workers,
-    ready_steps,
-)
+from hornbeamfold.coordinator.pass_planner import PassPlanner, PlannerDependencies
 from hornbeamfold.coordinator.reports import ReportDependencies, WorkerReports
 from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
 from hornbeamfold.coordinator.session import (
@@ -46,7 +39,6 @@
     busy_renewal_wait_ms,
 )
 from hornbeamfold.coordinator.starts import RunStarter, StartDependencies
-from hornbeamfold.coordinator.wait_log import WaitLog
 from hornbeamfold.ledger import (
     CoordinatorRecord,
     Replica,
@@ -54,11 +46,10 @@
     parse_progress_key,
     task_parts,
 )
-from hornbeamfold.scheduling import Plan, plan
-from hornbeamfold.telemetry import get_logger, histogram, keep_running, log_exceptions
+from hornbeamfold.scheduling import Plan
+from hornbeamfold.telemetry import get_logger, keep_running, log_exceptions
 
 logger = get_logger("hornbeamfold.coordinator.term")
-_plan_ms = histogram("hornbeamfold_plan", "ms", "Time of one planning pass.")
 
 # The minimum interval between passes, so that ends and submissions in a burst share one pass.
 MIN_PASS_GAP_MS = 15
@@ -108,11 +99,9 @@
         self._record = CoordinatorRecord(deps.incarnation, epoch)
         self._tracker = JobTracker(deps.clock)
         self._health = WorkerHealth(deps.clock)
-        self._urgent_demand = UrgentDemand()
-        self._placed_runs = PlacedRuns()
-        self._rotation = JobRotation()
-        self._offers_limited = False
-        self._wait_log = WaitLog(deps.clock)
+        self._planner = PassPlanner(
+            PlannerDependencies(self._tracker, self._health, deps.bounds, deps.clock, deps.wall)
+        )
         self._losses = RunLosses(
             self._tracker,
             LossHooks(self._end_lost_run, self._stop_all, lambda: self._journal.notify()),
@@ -428,8 +417,6 @@
                 session.orders.stop(run)
 
     def _plan_once(self) -> None:
-        began = self._deps.clock()
-        operator = self._deps.operator()
         # What runs of unread jobs reserve is not known.
         unread_workers = set(self._unread_runs().values())
         sessions = [
@@ -437,40 +424,9 @@
             for worker_id, session in self._sessions.items()
             if worker_id not in unread_workers
         ]
-        candidates = candidate_workers(sessions, self._tracker, self._health, operator)
-        steps = ready_steps(
-            self._tracker,
-            operator,
-            self._deps.wall(),
-            began,
-            self._deps.bounds,
-            len(candidates),
-            self._rotation,
-        )
-        self._log_limited_offers(len(steps))
-        if not steps:
-            return
-        self._urgent_demand.record(steps, began)
-        headroom = self._urgent_demand.headroom()
-        placed_runs = self._placed_runs.current(self._tracker, began)
-        new_plan = plan(steps, candidates, placed_runs, began, headroom)
-        _plan_ms(self._deps.clock() - began)
-        ordinary = sum(not each.last_resort for each in candidates)
-        self._wait_log.record(
-            new_plan.waits, ordinary, self._health.excluded_count, len(self._sessions)
-        )
-        self._execute(new_plan)
-
-    def _log_limited_offers(self, steps: int) -> None:
-        """Log when passes begin or cease to leave out steps that are ready."""
-        limited = steps >= MAX_OFFERED_STEPS
-        if limited is self._offers_limited:
-            return
-        self._offers_limited = limited
-        logger.warning(
-            "offers_limited" if limited else "offers_complete",
-            extra={"steps": steps, "jobs": len(self._tracker.jobs)},
-        )
+        new_plan = self._planner.plan(sessions, len(self._sessions), self._deps.operator())
+        if new_plan is not None:
+            self._execute(new_plan)
 
     def _execute(self, new_plan: Plan) -> None:
         for preemption in new_plan.preemptions:
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -19,20 +19,17 @@
     TaskRef,
     WorkerLoss,
 )
+from hornbeamfold.coordinator.crash_counts import (
+    is_given_up,
+    must_run_alone,
+    with_crash,
+    with_loss,
+    without_crashes,
+    without_loss,
+)
 from hornbeamfold.coordinator.step_progress import StepKey, StepProgress
 from hornbeamfold.ledger import task_parts
 
-# After this many crashes of its workers a task runs alone on a worker.
-ISOLATION_CRASHES = 2
-# A task that crashes its workers fails its job after this many crashes if its run was alone on the
-# worker in the last, and otherwise after the second number of crashes. Workers that may only have
-# been cut off are no evidence by themselves, but a task is not started again for ever either.
-MAX_CRASHES_ALONE = 3
-MAX_CRASHES = 4
-MIN_CRASHES_WITH_EVIDENCE = 2
-MAX_CRASHES_WITHOUT_EVIDENCE = 5
-# The workers of a task that are waited for at the same time to learn what became of them.
-MAX_OPEN_LOSSES = 8
 # Callers have given a job up that takes this many times as long as its objective.
 EXPIRY_FACTOR = 3
 # The occurrences of one step that a pass may place, and the tasks of one or several occurrences.
@@ -77,7 +74,7 @@
         if task.phase is TaskPhase.DONE:
             self._finish_task(ref)
             return
-        if task.suspected_crashes >= ISOLATION_CRASHES:
+        if must_run_alone(task):
             self._isolated.setdefault((ref.occurrence, ref.step), set()).add(ref.index)
         if task.phase is TaskPhase.ACTIVE:
             self._steps.begin(ref)
@@ -297,12 +294,8 @@
         if self._outlasted_crashes(name, ran_ms):
             self._clear_crashes(name.task)
             return True
-        task = self.task(name.task)
-        self._set_suspicion(
-            name.task,
-            replace(task, crashes=task.crashes + 1, vanished=task.vanished + (not evident)),
-        )
-        self._fail_after_crashes(name.task, alone, evident)
+        self._set_suspicion(name.task, with_crash(self.task(name.task), evident))
+        self._fail_if_given_up(name.task, alone, evident)
         return True
 
     def add_loss(self, name: RunName, loss: WorkerLoss, ran_ms: int) -> bool:
@@ -315,37 +308,23 @@
         if self._outlasted_crashes(name, ran_ms):
             self._clear_crashes(name.task)
             return False
-        task = self.task(name.task)
-        others = [each for each in task.losses if each.worker_id != loss.worker_id]
-        if len(others) >= MAX_OPEN_LOSSES:
-            others.remove(next((each for each in others if not each.counted), others[0]))
-        self._set_suspicion(name.task, replace(task, losses=(*others, loss)))
+        self._set_suspicion(name.task, with_loss(self.task(name.task), loss))
         if loss.counted:
-            self._fail_after_crashes(name.task, loss.alone, evident=False)
+            self._fail_if_given_up(name.task, loss.alone, evident=False)
         return True
 
-    def _fail_after_crashes(self, ref: TaskRef, alone: bool, evident: bool) -> None:
-        task = self.task(ref)
-        limit = MAX_CRASHES_WITHOUT_EVIDENCE
-        if evident and task.crashes - task.vanished >= MIN_CRASHES_WITH_EVIDENCE:
-            limit = MAX_CRASHES_ALONE if alone else MAX_CRASHES
-        if task.suspected_crashes >= limit:
+    def _fail_if_given_up(self, ref: TaskRef, alone: bool, evident: bool) -> None:
+        if is_given_up(self.task(ref), alone, evident):
             self.fail()
 
     def confirm_crash(self, ref: TaskRef, loss: WorkerLoss, evident: bool) -> None:
         """Count the crash of a worker that is known only after the run on it was lost."""
-        self.withdraw_loss(ref, loss)
-        task = self.task(ref)
-        self._set_suspicion(
-            ref, replace(task, crashes=task.crashes + 1, vanished=task.vanished + (not evident))
-        )
-        self._fail_after_crashes(ref, loss.alone, evident)
+        self._set_suspicion(ref, with_crash(without_loss(self.task(ref), loss), evident))
+        self._fail_if_given_up(ref, loss.alone, evident)
 
     def withdraw_loss(self, ref: TaskRef, loss: WorkerLoss) -> None:
         """Remove the loss of a worker that was only cut off."""
-        task = self.task(ref)
-        losses = tuple(each for each in task.losses if each != loss)
-        self._set_suspicion(ref, replace(task, losses=losses))
+        self._set_suspicion(ref, without_loss(self.task(ref), loss))
 
     def clear_crashes(self, name: RunName, ran_ms: int) -> bool:
         """Clear the crashes of a long-running task that has run for long; return any change."""
@@ -362,13 +341,13 @@
         return self._job.steps[name.task.step].long_running and ran_ms >= CLEARING_RUN_MS
 
     def _clear_crashes(self, ref: TaskRef) -> None:
-        self._set_suspicion(ref, replace(self.task(ref), crashes=0, vanished=0, losses=()))
+        self._set_suspicion(ref, without_crashes(self.task(ref)))
 
     def _set_suspicion(self, ref: TaskRef, task: TaskProgress) -> None:
         """Update a task of which the crashes or losses have changed."""
         self._set_task(ref, task)
         key = (ref.occurrence, ref.step)
-        if task.suspected_crashes >= ISOLATION_CRASHES:
+        if must_run_alone(task):
             self._isolated.setdefault(key, set()).add(ref.index)
             return
         isolated = self._isolated.get(key, set())
--- a/libs/coordinator/tests/test_job_tracker.py
+++ b/libs/coordinator/tests/test_job_tracker.py
@@ -16,13 +16,15 @@
     TaskProgress,
     TaskRef,
 )
-from hornbeamfold.coordinator.job_tracker import JobTracker
-from hornbeamfold.coordinator.tracked import (
-    CLEARING_RUN_MS,
+from hornbeamfold.coordinator.crash_counts import (
     MAX_CRASHES,
     MAX_CRASHES_ALONE,
     MAX_CRASHES_WITHOUT_EVIDENCE,
 )
+from hornbeamfold.coordinator.job_tracker import JobTracker
+from hornbeamfold.coordinator.tracked import (
+    CLEARING_RUN_MS,
+)
 from hornbeamfold.model import invariant_violations
 
 SMALL = Resources(1_000, 1_000, 1)
--- a/libs/coordinator/tests/test_planner_inputs.py
+++ b/libs/coordinator/tests/test_planner_inputs.py
@@ -26,6 +26,7 @@
     TaskProgress,
     TaskRef,
 )
+from hornbeamfold.coordinator.crash_counts import ISOLATION_CRASHES, MAX_CRASHES
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_tracker import ISOLATION_RUN_MS, JobTracker
 from hornbeamfold.coordinator.planner_inputs import (
@@ -35,7 +36,6 @@
     ready_steps,
 )
 from hornbeamfold.coordinator.session import Session
-from hornbeamfold.coordinator.tracked import ISOLATION_CRASHES, MAX_CRASHES
 from hornbeamfold.scheduling import Assignment, ReadyStep, plan
 
 DEMAND = Resources(1_000, 1_000, 1)
--- a/libs/coordinator/tests/test_run_losses.py
+++ b/libs/coordinator/tests/test_run_losses.py
@@ -13,15 +13,15 @@
 )
 
 from hornbeamfold.batch import JobState, NoAnswer, Resources, RunName, Step, TaskRef
-from hornbeamfold.coordinator.crash_history import WINDOW_MS
-from hornbeamfold.coordinator.job_tracker import Holding, JobTracker
-from hornbeamfold.coordinator.run_losses import REVIEW_TIMEOUT_MS, LossHooks, RunLosses
-from hornbeamfold.coordinator.session import RunsLost, Session
-from hornbeamfold.coordinator.tracked import (
+from hornbeamfold.coordinator.crash_counts import (
     MAX_CRASHES_ALONE,
     MAX_CRASHES_WITHOUT_EVIDENCE,
     MAX_OPEN_LOSSES,
 )
+from hornbeamfold.coordinator.crash_history import WINDOW_MS
+from hornbeamfold.coordinator.job_tracker import Holding, JobTracker
+from hornbeamfold.coordinator.run_losses import REVIEW_TIMEOUT_MS, LossHooks, RunLosses
+from hornbeamfold.coordinator.session import RunsLost, Session
 from hornbeamfold.ledger import encode_progress
 from hornbeamfold.ledger.codec import decode_progress
 
