--- a/libs/ledger/src/hornbeamfold/ledger/progress.py
+++ b/libs/ledger/src/hornbeamfold/ledger/progress.py
@@ -1,7 +1,6 @@
 """Loads the progress of all jobs from the topic that only the coordinator writes."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 
 from hornbeamfold.batch import (
     JobProgress,
@@ -19,13 +18,18 @@
 logger = get_logger("hornbeamfold.ledger.progress")
 
 
-@dataclass
-class _Parts:
+class _ProgressParts:
     """The parts of the progress of a job that have been read so far."""
 
-    state: JobState
-    tasks: dict[TaskRef, TaskProgress] = field(default_factory=dict)
-    numbers: set[int] = field(default_factory=set)
+    def __init__(self, state: JobState) -> None:
+        self._state = state
+        self._tasks: dict[TaskRef, TaskProgress] = {}
+        self._numbers: set[int] = set()
+
+    @property
+    def progress(self) -> JobProgress:
+        """The progress in all parts."""
+        return JobProgress(self._state, self._tasks, frozenset(self._numbers))
 
     def add(self, part: int, state: JobState, tasks: Mapping[TaskRef, TaskProgress]) -> None:
         """Add the tasks of a part.
@@ -33,13 +37,13 @@
         The first part has the present state. It may have rows of all tasks, as it had before
         records were divided; those of other parts are newer.
         """
-        self.numbers.add(part)
+        self._numbers.add(part)
         if part > 0:
-            self.tasks.update(tasks)
+            self._tasks.update(tasks)
             return
-        self.state = state
+        self._state = state
         for ref, task in tasks.items():
-            self.tasks.setdefault(ref, task)
+            self._tasks.setdefault(ref, task)
 
 
 def load_progress(topic: TopicPort) -> dict[str, JobProgress] | ReadFailed:
@@ -47,7 +51,7 @@
 
     The pages are not one consistent snapshot, so there must be no writes while they are read.
     """
-    found: dict[str, _Parts] = {}
+    found: dict[str, _ProgressParts] = {}
     after = ""
     while True:
         page = topic.newest(after)
@@ -56,14 +60,11 @@
         for record in page.records:
             _add_part(found, record)
         if not page.has_more:
-            return {
-                job_id: JobProgress(parts.state, parts.tasks, frozenset(parts.numbers))
-                for job_id, parts in found.items()
-            }
+            return {job_id: parts.progress for job_id, parts in found.items()}
         after = page.records[-1].key
 
 
-def _add_part(found: dict[str, _Parts], record: KeyedRecord) -> None:
+def _add_part(found: dict[str, _ProgressParts], record: KeyedRecord) -> None:
     """Add the tasks of a progress record to those of its job."""
     key = parse_progress_key(record.key)
     if key is None:
@@ -77,5 +78,5 @@
             extra={"key": record.key, "offset": record.offset, "error": str(error)},
         )
         return
-    parts = found.setdefault(job_id, _Parts(progress.state))
+    parts = found.setdefault(job_id, _ProgressParts(progress.state))
     parts.add(part, progress.state, progress.tasks)
