--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -15,7 +15,7 @@
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.step_progress import StepKey
 from hornbeamfold.coordinator.stragglers import remaining_ms
-from hornbeamfold.coordinator.tracked import MAX_OFFERED_TASKS, TrackedJob
+from hornbeamfold.coordinator.tracked import MAX_OFFERED_TASKS, StartableStep, TrackedJob
 from hornbeamfold.scheduling import CandidateWorker, PlacedRun, ReadyStep, weighted_cores
 
 # The ready steps that one pass offers, each of which costs time, and those that a job offers before
@@ -30,8 +30,6 @@
 # service may have none for hours.
 MAX_ISOLATION_WAIT_MS = 10_000
 
-StartableStep = tuple[int, int, Collection[int]]  # occurrence, step and waiting tasks
-
 
 def candidate_workers(
     sessions: Iterable[Session], tracker: JobTracker, health: WorkerHealth, operator: OperatorState
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -39,6 +39,8 @@
 # A long-running task sees many workers crash. A run that has lasted for this long clears its task.
 CLEARING_RUN_MS = 60_000
 
+StartableStep = tuple[int, int, Collection[int]]  # occurrence, step and waiting tasks
+
 
 class TrackedJob:
     """The progress of a job that has not ended."""
@@ -155,9 +157,7 @@
             for part in sorted(changed)
         }
 
-    def startable_tasks(
-        self, unix_ms: int, early_ms: int
-    ) -> Iterator[tuple[int, int, Collection[int]]]:
+    def startable_tasks(self, unix_ms: int, early_ms: int) -> Iterator[StartableStep]:
         """Yield occurrence, step and task indexes of steps whose dependencies are done.
 
         Occurrences of scheduled jobs are included from `early_ms` before their time. If the caller
