--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -223,7 +223,7 @@
         return bool(self._changed)
 
     def recorded_progress(self, job_id: str) -> tuple[JobState, Mapping]:
-        """Return the state and task progress of a job as the journal records them."""
+        """Return the state of a job and the progress of its tasks, of steps that are not done."""
         tracked = self._jobs.get(job_id)
         if tracked is None:
             return self._final_states[job_id], {}
--- a/libs/coordinator/tests/test_run_losses.py
+++ b/libs/coordinator/tests/test_run_losses.py
@@ -123,7 +123,7 @@
         with_worker = self.begin("w1")
         self.lose(with_worker, registered=True)
         self.clock.move(REVIEW_TIMEOUT_MS + 1)
-        # Losses of other workers drop those that are too old.
+        # The task has been started elsewhere, and lost that worker as well.
         self.lose(self.begin("w2"), registered=True)
         self.hear_of(with_worker, born_ms=2)
         self.assertEqual(self.crashes(), (0, 0))
