Agree on the interfaces of the parts for hard load

Cause: five parts that are built side by side (limits, too little room, learned durations, interference, the door) touch the planner's inputs, and need the same words for them.

--- a/libs/batch/src/hornbeamfold/batch/__init__.py
+++ b/libs/batch/src/hornbeamfold/batch/__init__.py
@@ -64,6 +64,8 @@
     Resources,
     Step,
     TaskRef,
+    WorkKind,
+    work_kind,
 )
 from hornbeamfold.batch.workers import (
     EndedTask,
@@ -123,6 +125,7 @@
     "TopicLimits",
     "TopicPort",
     "Trimmed",
+    "WorkKind",
     "Worker",
     "WorkerLoss",
     "WorkerPort",
@@ -130,4 +133,5 @@
     "job_problem",
     "stored_bytes",
     "unix_ms",
+    "work_kind",
 ]
--- a/libs/batch/src/hornbeamfold/batch/configuration.py
+++ b/libs/batch/src/hornbeamfold/batch/configuration.py
@@ -37,11 +37,18 @@
 
 @dataclass(frozen=True)
 class Organisation:
-    """A customer with its API keys and the resources guaranteed to its jobs of priority 0."""
+    """A customer with its API keys and the resources guaranteed to its jobs of priority 0.
+
+    `limit` is what its runs may use on all workers together; a resource that is 0 is not limited.
+    `weight` is its share of the resources, relative to others, when all are in use, and the rate of
+    jobs a second up to which it is owed service; None if the configuration has none.
+    """
 
     name: str
     api_keys: tuple[str, ...] = ()
     guaranteed: Resources = field(default_factory=Resources)
+    limit: Resources = field(default_factory=Resources)
+    weight: float | None = None
 
 
 @dataclass(frozen=True)
--- a/libs/batch/src/hornbeamfold/batch/spec.py
+++ b/libs/batch/src/hornbeamfold/batch/spec.py
@@ -80,6 +80,20 @@
         return Resources(0, self.demand.memory_mb, self.demand.accelerators)
 
 
+@dataclass(frozen=True)
+class WorkKind:
+    """What tasks have in common that behave alike: an image, or else the resources they need.
+
+    Kinds of different organisations are kept apart, so that none can distort what is learned about
+    the work of another.
+    """
+
+    organisation: str
+    queue: str
+    image: str
+    demand: Resources
+
+
 @dataclass(frozen=True)
 class BatchJob:
     """An accepted job, with the settings of its queue at that time.
@@ -147,3 +161,10 @@
     def accelerators(self) -> int:
         """The total number of accelerators that all tasks of all steps need."""
         return sum(step.count * step.demand.accelerators for step in self.steps)
+
+
+def work_kind(job: BatchJob, step_index: int) -> WorkKind:
+    """Return the kind of a step's tasks."""
+    step = job.steps[step_index]
+    demand = Resources() if step.image else step.demand
+    return WorkKind(job.organisation, job.queue, step.image, demand)
--- a/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
@@ -7,8 +7,10 @@
     Plan,
     Preemption,
     ReadyStep,
+    Slowdown,
     Wait,
     WaitReason,
+    no_slowdown,
     weighted_cores,
 )
 from hornbeamfold.scheduling.plan import plan
@@ -20,8 +22,10 @@
     "Plan",
     "Preemption",
     "ReadyStep",
+    "Slowdown",
     "Wait",
     "WaitReason",
+    "no_slowdown",
     "plan",
     "weighted_cores",
 ]
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from hornbeamfold.batch import Resources
-from hornbeamfold.scheduling.inputs import CandidateWorker, ReadyStep
+from hornbeamfold.scheduling.inputs import CandidateWorker, ReadyStep, Slowdown, no_slowdown
 
 # Weight of the accelerator share relative to the CPU and memory shares in the best-fit score.
 # Accelerators are allocated in whole units, so fragmentation wastes them the most.
@@ -55,7 +55,10 @@
 class ClusterCapacity:
     """The free capacity of each worker, reduced as tasks are placed."""
 
-    def __init__(self, workers: Iterable[CandidateWorker]) -> None:
+    def __init__(
+        self, workers: Iterable[CandidateWorker], slowdown: Slowdown = no_slowdown
+    ) -> None:
+        self._slowdown = slowdown
         self._workers: dict[str, CandidateWorker] = {}
         self._free: dict[str, Resources] = {}
         # The workers with runs, which may have reserved nothing.
@@ -123,6 +126,10 @@
         """Return a worker's description."""
         return self._workers[worker_id]
 
+    def slowdown(self, step: ReadyStep, worker_id: str) -> float:
+        """Return how many times as long as usual a task of a step takes on a worker."""
+        return self._slowdown(step, self._workers[worker_id])
+
     def has_worker(self, worker_id: str) -> bool:
         """Return whether the worker accepts new tasks."""
         return worker_id in self._workers
@@ -280,8 +287,11 @@
     workers: Iterable[str],
     available: Callable[[str], Resources],
 ) -> list[str]:
-    """Return workers for up to `count` tasks of a step, best fit first, without allocating."""
-    ranked: list[tuple[float, str, int]] = []
+    """Return workers for up to `count` tasks of a step, without allocating.
+
+    The fastest come first, and of equally fast ones the best fit.
+    """
+    ranked: list[tuple[float, float, str, int]] = []
     demand = step.step.reserved
     for worker_id in workers:
         resources = available(worker_id)
@@ -290,10 +300,10 @@
         fit = fitting_tasks(step, cluster.worker(worker_id), resources, count)
         if fit > 0:
             share = remaining_share(cluster.worker(worker_id), resources)
-            ranked.append((share, worker_id, fit))
+            ranked.append((cluster.slowdown(step, worker_id), share, worker_id, fit))
     ranked.sort()
     chosen: list[str] = []
-    for _, worker_id, fit in ranked:
+    for _, _, worker_id, fit in ranked:
         # The best-fitting worker remains the best fit while another task fits on it.
         chosen.extend([worker_id] * min(fit, count - len(chosen)))
         if len(chosen) == count:
--- a/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/idle_jobs.py
@@ -75,7 +75,7 @@
         """
         waiting = len(step.waiting)
         needed = waiting if step.step.gang else 1
-        ends_ms: int | None = self._now_ms + step.step.estimate_ms
+        ends_ms: int | None = self._now_ms + step.expected_ms
         if step.step.long_running or self._cluster.is_half_idle(step.job.service):
             ends_ms = None
         available = self._available(ends_ms)
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -1,6 +1,6 @@
 """Inputs and results of a planning pass."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from math import inf
@@ -45,6 +45,7 @@
     organisation. `placed_on` counts the step's active tasks by worker, and `avoid` lists workers on
     which these tasks should not start again. Each task of an `isolated` step gets a worker without
     other runs; only members of one gang may share workers. `any_worker` allows last resorts.
+    `learned_ms` is the duration of a task that earlier ones suggest, on a worker of usual speed.
     """
 
     job: BatchJob
@@ -60,12 +61,18 @@
     avoid: frozenset[str] = frozenset()
     isolated: bool = False
     any_worker: bool = False
+    learned_ms: int | None = None
 
     @property
     def step(self) -> Step:
         """The specification of the step."""
         return self.job.steps[self.step_index]
 
+    @property
+    def expected_ms(self) -> int:
+        """The expected duration of a task: the learned one, or else the caller's estimate."""
+        return self.step.estimate_ms if self.learned_ms is None else self.learned_ms
+
     def ref(self, index: int) -> TaskRef:
         """Return the reference of the task with this index."""
         return TaskRef(self.occurrence, self.step_index, index)
@@ -75,6 +82,16 @@
         return 0 if self.idle_since_ms is None else now_ms - self.idle_since_ms
 
 
+# How many times as long a task of a step is expected to take on a worker as on one of usual speed
+# that it has for itself.
+Slowdown = Callable[[ReadyStep, CandidateWorker], float]
+
+
+def no_slowdown(step: ReadyStep, worker: CandidateWorker) -> float:
+    """Return 1: all workers are equally fast for a task."""
+    return 1.0
+
+
 @dataclass(frozen=True, eq=False)
 class PlacedRun:
     """A run that uses resources on a worker; `remaining_ms` is an estimate.
--- a/libs/scheduling/src/hornbeamfold/scheduling/locality.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/locality.py
@@ -17,7 +17,7 @@
 def candidate_groups(cluster: ClusterCapacity, step: ReadyStep, now_ms: int) -> list[WorkerGroup]:
     """Return groups of workers, best first; one pass places all tasks of a step in one group."""
     waited_ms = now_ms - step.ready_ms
-    wait_expired = waited_ms > LOCALITY_WAIT_SHARE * step.step.estimate_ms
+    wait_expired = waited_ms > LOCALITY_WAIT_SHARE * step.expected_ms
     preferred = _preferred_group(cluster, step)
     if step.step.one_rack:
         groups = _rack_groups(cluster, step, preferred, wait_expired)
@@ -39,7 +39,7 @@
 
 def _may_span_racks(cluster: ClusterCapacity, step: ReadyStep, waited_ms: int) -> bool:
     """Return whether a gang for one rack should be started across racks rather than wait."""
-    if step.placed_on or waited_ms <= RACK_WAIT_FACTOR * step.step.estimate_ms:
+    if step.placed_on or waited_ms <= RACK_WAIT_FACTOR * step.expected_ms:
         return False
     service = step.job.service
     total = cluster.total_accelerators(service)
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -14,7 +14,9 @@
     Plan,
     Preemption,
     ReadyStep,
+    Slowdown,
     Wait,
+    no_slowdown,
     weighted_cores,
 )
 from hornbeamfold.scheduling.locality import candidate_groups
@@ -48,7 +50,7 @@
     Steps that can't end in time to be of use come after all that can. Within a priority, steps that
     can't meet their objective come after those that can.
     """
-    earliest_end_ms = now_ms + step.step.estimate_ms
+    earliest_end_ms = now_ms + step.expected_ms
     return (
         not step.entitled,
         earliest_end_ms > step.expired_ms,
@@ -67,13 +69,15 @@
     placed_runs: Sequence[PlacedRun],
     now_ms: int,
     headroom: Mapping[str, int] = NO_HEADROOM,
+    slowdown: Slowdown = no_slowdown,
 ) -> Plan:
     """Return the starts and preemptions to carry out now; times are on the coordinator's clock.
 
     `headroom` is the number of accelerators of each service that non-urgent work leaves free for
-    the urgent work that is expected, so that fewer runs have to be preempted for it.
+    the urgent work that is expected, so that fewer runs have to be preempted for it. `slowdown`
+    returns how many times as long as usual a task of a step takes on a worker.
     """
-    run = _Pass(workers, placed_runs, now_ms, headroom)
+    run = _Pass(workers, placed_runs, now_ms, headroom, slowdown)
     for step in sorted(steps, key=lambda each: order_key(each, now_ms)):
         run.place(step)
     return run.result()
@@ -88,8 +92,9 @@
         placed_runs: Sequence[PlacedRun],
         now_ms: int,
         headroom: Mapping[str, int],
+        slowdown: Slowdown,
     ) -> None:
-        self._cluster = ClusterCapacity(workers)
+        self._cluster = ClusterCapacity(workers, slowdown)
         self._idle_jobs = IdleJobPlacement(self._cluster, now_ms)
         self._placed_runs = placed_runs
         self._now_ms = now_ms
@@ -180,7 +185,7 @@
     def _wait_for_ends(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
         """Reserve what runs will soon free by themselves, instead of preempting; return success."""
         waited_ms = self._now_ms - step.ready_ms
-        slack_ms = step.due_ms - self._now_ms - step.step.estimate_ms
+        slack_ms = step.due_ms - self._now_ms - step.expected_ms
         max_wait_ms = min(MAX_WAIT_BEFORE_PREEMPTION_MS - waited_ms, slack_ms)
         if max_wait_ms <= 0:
             return False
@@ -222,14 +227,14 @@
     """Return whether an urgent step without a guarantee may preempt: if its end is of use then."""
     if step.entitled or step.job.priority > 0:
         return False
-    return now_ms + step.step.estimate_ms <= step.expired_ms
+    return now_ms + step.expected_ms <= step.expired_ms
 
 
 def _max_lost_work(step: ReadyStep, now_ms: int) -> float:
     """Return the work in core-seconds that preemption for the waiting tasks may lose."""
-    last_chance = now_ms + LAST_CHANCE_FACTOR * step.step.estimate_ms > step.expired_ms
+    last_chance = now_ms + LAST_CHANCE_FACTOR * step.expected_ms > step.expired_ms
     factor = LAST_CHANCE_LOST_WORK_FACTOR if last_chance else MAX_LOST_WORK_FACTOR
-    task_work = weighted_cores(step.step.demand) * step.step.estimate_ms / 1_000
+    task_work = weighted_cores(step.step.demand) * step.expected_ms / 1_000
     return factor * len(step.waiting) * task_work
 
 
@@ -238,7 +243,7 @@
     count = len(step.waiting)
     needed = step.step.demand.accelerators
     urgent = step.entitled or step.job.priority == 0
-    at_risk = now_ms + RISK_FACTOR * step.step.estimate_ms > step.due_ms
+    at_risk = now_ms + RISK_FACTOR * step.expected_ms > step.due_ms
     if urgent or at_risk or needed == 0 or headroom == 0:
         return count
     allowed = max(0, cluster.idle_accelerators(step.job.service) - headroom) // needed
@@ -255,7 +260,7 @@
     count: int,
 ) -> list[str]:
     """Return workers for `count` waiting tasks: all or none of a gang, otherwise as many as fit."""
-    ends_ms = now_ms + step.step.estimate_ms
+    ends_ms = now_ms + step.expected_ms
     needed = step.step.demand.accelerators
     best: list[str] = []
     for group in groups:
--- a/libs/scheduling/src/hornbeamfold/scheduling/waits.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/waits.py
@@ -23,7 +23,7 @@
     needed = waiting if step.step.gang else 1
     members = cluster.members_with_accelerators(step, ALL_RACKS)
     fitting = len(pack(cluster, step, 2 * waiting, members, cluster.free))
-    ends_ms = now_ms + step.step.estimate_ms
+    ends_ms = now_ms + step.expected_ms
     reason = WaitReason.RACK
     if fitting < needed:
         reason = WaitReason.NO_ROOM
