Check a configuration before it is sent

Cause: an operator learned only from refused calls that a route never matches, that a guarantee exceeds a limit, or that a key of another organisation was taken along. Change: the library configcheck finds errors, entries that never match and limits that contradict each other, and lists what changes against another configuration; keys are counted, not shown. The command of the adapter reads the platform's document, names places in its words, and compares with a file or with the version in force in the store.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SECONDS ?= 60
 LIB ?=
 
-.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak replay backlog
+.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool check-configuration faults random-faults measure slopes soak replay backlog
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
@@ -59,6 +59,9 @@
 tool: setup  ## Run the command-line tool: make tool ARGS="instances"
 	$(PY) -m hornbeamfold.cli $(ARGS)
 
+check-configuration: setup  ## Check a configuration of the platform: make check-configuration FILE=f [ARGS="--against g"]
+	$(PY) -m hornbeamfold.platform.check $(FILE) $(ARGS)
+
 faults: setup  ## Run the fault matrix: make faults [ROW="zone out"] [STEP=draining] [OUTPUT=json]
 	$(PY) -m hornbeamfold.bench.faults $(if $(ROW),--row "$(ROW)") $(if $(STEP),--step "$(STEP)") \
 	  $(if $(OUTPUT),--output $(OUTPUT))
--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -34,6 +34,7 @@
     "standins",
     "bench",
     "batch",
+    "configcheck",
     "ledger",
     "relay",
     "scheduling",
