--- a/libs/configcheck/src/hornbeamfold/configcheck/differences.py
+++ b/libs/configcheck/src/hornbeamfold/configcheck/differences.py
@@ -8,6 +8,7 @@
 from hornbeamfold.batch import Configuration
 from hornbeamfold.configcheck.findings import Place
 
+# Fields whose values are not shown.
 SECRET_FIELDS = frozenset({"api_keys"})
 
 
@@ -34,7 +35,7 @@
     found: list[Difference] = []
     if before.version >= after.version:
         # Instances keep the version with the highest number.
-        found.append(_changed(Place("version", ""), "", before.version, after.version))
+        found.append(_changed(Place("version", ""), before.version, after.version))
     found.extend(
         _entries(
             "queue",
@@ -61,11 +62,11 @@
         for field in fields(after[name]):
             old, new = getattr(before[name], field.name), getattr(after[name], field.name)
             if old != new:
-                yield _changed(Place(section, name, field.name), field.name, old, new)
+                yield _changed(Place(section, name, field.name), old, new)
 
 
-def _changed(place: Place, field: str, old: object, new: object) -> Difference:
-    if field in SECRET_FIELDS:
+def _changed(place: Place, old: object, new: object) -> Difference:
+    if place.field in SECRET_FIELDS:
         return Difference(Change.CHANGED, place, *_describe_keys(old, new))
     return Difference(Change.CHANGED, place, str(old), str(new))
 
