Keep what organisations have running within their limits

The limit is kept in each pass and again before each start order; runs count until their end is known, and after a takeover workers that may have unrecorded runs count as full. Jobs beyond the owed rate and organisations beyond their share come behind others of the same priority.

--- a/libs/batch/src/hornbeamfold/batch/__init__.py
+++ b/libs/batch/src/hornbeamfold/batch/__init__.py
@@ -16,6 +16,7 @@
     Organisation,
     Queue,
     Service,
+    within_limit,
 )
 from hornbeamfold.batch.plannable import (
     MAX_TASKS,
@@ -133,5 +134,6 @@
     "job_problem",
     "stored_bytes",
     "unix_ms",
+    "within_limit",
     "work_kind",
 ]
--- a/libs/batch/src/hornbeamfold/batch/bounds.py
+++ b/libs/batch/src/hornbeamfold/batch/bounds.py
@@ -12,6 +12,7 @@
     revoke_ms: int = 5_000  # a revoked API key is rejected after this time
     zone_out_ms: int = 5_000  # no run starts in a zone later than this after it was taken out
     drain_ms: int = 2_500  # no run starts on a worker later than this after it began to drain
+    configuration_ms: int = 2_500  # no run starts by a replaced configuration after this time
     cancel_ms: int = 3_000  # no run of a job starts later than this after its cancellation
     early_ms: int = 250  # a scheduled task may start this long before its time
     grace_period_ms: int = 6_000  # from SIGTERM to SIGKILL
--- a/libs/batch/src/hornbeamfold/batch/configuration.py
+++ b/libs/batch/src/hornbeamfold/batch/configuration.py
@@ -51,6 +51,15 @@
     weight: float | None = None
 
 
+def within_limit(used: Resources, limit: Resources) -> bool:
+    """Return whether an amount is within a limit, of which a resource that is 0 is not limited."""
+    return (
+        (not limit.cpu_millis or used.cpu_millis <= limit.cpu_millis)
+        and (not limit.memory_mb or used.memory_mb <= limit.memory_mb)
+        and (not limit.accelerators or used.accelerators <= limit.accelerators)
+    )
+
+
 @dataclass(frozen=True)
 class Limits:
     """Limits on callers' requests, in bytes and milliseconds."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/coordination.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/coordination.py
@@ -23,10 +23,19 @@
         self._stopping = False
         self._last_epoch = 0
         gauge("hornbeamfold_coordinator_epoch", "Epoch coordinated here, or 0", self._own_epoch)
+        gauge(
+            "hornbeamfold_organisations_at_limit",
+            "Organisations that wait for their limits",
+            self._organisations_at_limit,
+        )
 
     def _own_epoch(self) -> int:
         return self._term.epoch if self.coordinating and self._term is not None else 0
 
+    def _organisations_at_limit(self) -> int:
+        term = self._term
+        return term.limited_organisations if term is not None and term.active else 0
+
     @property
     def coordinating(self) -> bool:
         """Whether this instance is the coordinator, as far as it knows."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
@@ -34,6 +34,7 @@
     on_state: Callable[[str, JobState], None]  # a state that must be published
     on_runs_cancelled: Callable[[tuple[RunName, ...]], None]  # runs that must be stopped
     on_change: Callable[[], None]
+    on_read: Callable[[BatchJob], None] = lambda job: None  # a job, whether it has ended or not
 
 
 class JobIntake:
@@ -96,6 +97,7 @@
         job = self._replica.job(job_id)
         if job is None:
             return
+        self._hooks.on_read(job)
         if job_id not in self._tracker.jobs:
             self._unread_runs.pop(job_id, None)
             if self._replica.recorded_state(job_id) in TERMINAL_STATES:
--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -22,6 +22,7 @@
 )
 from hornbeamfold.coordinator.crash_history import SuspectKey
 from hornbeamfold.coordinator.open_losses import OpenLoss, OpenLosses
+from hornbeamfold.coordinator.organisation_use import UseByOrganisation
 from hornbeamfold.coordinator.tracked import TrackedJob
 from hornbeamfold.model import check_invariant
 from hornbeamfold.telemetry import counter, get_logger
@@ -103,6 +104,7 @@
         self._runs_by_worker: dict[str, dict[RunName, None]] = {}
         self._runs_by_job: dict[str, dict[RunName, None]] = {}
         self._reserved: dict[str, Resources] = {}
+        self._used = UseByOrganisation()
         self._changed: set[str] = set()
         self._final_states: dict[str, JobState] = {}
         self._open_losses = OpenLosses(self._jobs)
@@ -164,6 +166,10 @@
         """Return the resources that runs reserve on one worker."""
         return self._reserved.get(worker_id, NOTHING)
 
+    def used_by(self, organisation: str) -> Resources:
+        """Return what the runs of an organisation use, those of ended jobs included."""
+        return self._used.of(organisation)
+
     def add(self, job: BatchJob, progress: JobProgress) -> None:
         """Track a job and the active runs in its recorded progress."""
         if job.job_id in self._jobs or job.job_id in self._final_states:
@@ -199,6 +205,8 @@
         self._runs_by_worker.setdefault(run.worker_id, {})[run.name] = None
         self._runs_by_job.setdefault(run.name.job_id, {})[run.name] = None
         self._reserved[run.worker_id] = self.reserved_on(run.worker_id) + run.reserved
+        job = self._jobs[run.name.job_id].job
+        self._used.add(run.name, job.organisation, job.steps[run.name.task.step].demand)
 
     def _remove_run(self, name: RunName) -> Run | None:
         run = self._runs.pop(name, None)
@@ -209,6 +217,7 @@
         if not self._runs_by_job[name.job_id]:
             del self._runs_by_job[name.job_id]
         self._reserved[run.worker_id] = self.reserved_on(run.worker_id) - run.reserved
+        self._used.remove(name)
         return run
 
     def pop_changed(self) -> set[str]:
--- a/libs/coordinator/src/hornbeamfold/coordinator/orders.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/orders.py
@@ -39,8 +39,8 @@
 # Up to one order in twenty may be lost or delayed; two in a row indicate an unreachable worker.
 MAX_START_ATTEMPTS = 2
 # A start order relies on the last confirmed read. It expires this long before the shortest of the
-# bounds, from that read on, on starts in zones out of service, on draining workers and of cancelled
-# jobs.
+# bounds, from that read on, on starts in zones out of service, on draining workers, of cancelled
+# jobs and by a former configuration.
 VALIDITY_MARGIN_MS = 700
 
 
@@ -119,7 +119,12 @@
     def _attempt_start(self, run: Run, payload: str) -> bool:
         """Send a start order; return False if it may still reach the worker later."""
         confirmed_ms = self._hooks.state_confirmed_ms()
-        validity_ms = min(self._bounds.drain_ms, self._bounds.cancel_ms, self._bounds.zone_out_ms)
+        validity_ms = min(
+            self._bounds.drain_ms,
+            self._bounds.cancel_ms,
+            self._bounds.zone_out_ms,
+            self._bounds.configuration_ms,
+        )
         now = self._clock()
         until_ms = None if confirmed_ms is None else confirmed_ms + validity_ms - VALIDITY_MARGIN_MS
         # The state may have changed while the run was recorded and waited for a slot.
--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -1,13 +1,16 @@
 """Makes the plan of one pass from the jobs, the workers and the recent demand."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from hornbeamfold.batch import Bounds, Clock, OperatorState
+from hornbeamfold.batch import Bounds, Clock, OperatorState, Resources
 from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker
+from hornbeamfold.coordinator.limit_log import LimitLog
+from hornbeamfold.coordinator.organisation_use import NOTHING, organisation_uses
+from hornbeamfold.coordinator.owed_rate import OwedRates
 from hornbeamfold.coordinator.planner_inputs import (
     MAX_OFFERED_STEPS,
     PlacedRuns,
@@ -16,7 +19,7 @@
 )
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.wait_log import WaitLog
-from hornbeamfold.scheduling import Plan, plan
+from hornbeamfold.scheduling import Plan, can_start_any, plan
 from hornbeamfold.telemetry import get_logger, histogram
 
 logger = get_logger("hornbeamfold.coordinator.pass_planner")
@@ -32,6 +35,7 @@
     bounds: Bounds
     clock: Clock
     unix_clock: Clock
+    owed: OwedRates = field(default_factory=OwedRates)
 
 
 class PassPlanner:
@@ -44,13 +48,24 @@
         self._rotation = JobRotation()
         self._offers_limited = False
         self._wait_log = WaitLog(deps.clock)
+        self._limit_log = LimitLog(deps.clock)
+
+    @property
+    def limited_organisations(self) -> int:
+        """The number of organisations that wait for their limits."""
+        return len(self._limit_log.limited)
 
     def plan(
-        self, sessions: Collection[Session], all_workers: int, operator: OperatorState
+        self,
+        sessions: Collection[Session],
+        all_workers: int,
+        operator: OperatorState,
+        uncertain_use: Resources = NOTHING,
     ) -> Plan | None:
         """Return a plan for the workers of these sessions, or None if no step is ready.
 
-        `all_workers` is the number of workers including those that may not be used now.
+        `all_workers` is the number of workers including those that may not be used now, and
+        `uncertain_use` the most that runs may use that the tracker does not know.
         """
         tracker, health = self._deps.tracker, self._deps.health
         began = self._deps.clock()
@@ -63,15 +78,21 @@
             self._deps.bounds,
             len(candidates),
             self._rotation,
+            self._deps.owed,
         )
         self._log_limited_offers(len(steps))
+        uses = organisation_uses(operator.configuration, tracker.used_by, uncertain_use)
+        version = None if operator.configuration is None else operator.configuration.version
         if not steps:
+            self._limit_log.record((), uses, version)
             return None
-        self._urgent_demand.record(steps, began)
+        startable = (each for each in steps if can_start_any(each, uses))
+        self._urgent_demand.record(startable, began)
         headroom = self._urgent_demand.headroom()
         placed_runs = self._placed_runs.current(tracker, began)
-        new_plan = plan(steps, candidates, placed_runs, began, headroom)
+        new_plan = plan(steps, candidates, placed_runs, began, headroom, organisations=uses)
         _plan_ms(self._deps.clock() - began)
+        self._limit_log.record(new_plan.limited, uses, version)
         ordinary = sum(not each.last_resort for each in candidates)
         self._wait_log.record(new_plan.waits, ordinary, health.excluded_count, all_workers)
         return new_plan
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -1,17 +1,18 @@
 """Builds the inputs of a planning pass from the job tracker and the worker sessions."""
 
 from collections import deque
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 from heapq import nsmallest
 from itertools import islice
 from math import inf
 
-from hornbeamfold.batch import Bounds, OperatorState, RunName, Step
+from hornbeamfold.batch import BatchJob, Bounds, OperatorState, RunName, Step
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
+from hornbeamfold.coordinator.owed_rate import OwedRates
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.step_progress import StepKey
 from hornbeamfold.coordinator.stragglers import remaining_ms
@@ -64,12 +65,13 @@
 
 @dataclass(frozen=True)
 class _Moment:
-    """When a pass plans, with how many workers, and the jobs that have a guarantee then."""
+    """When a pass plans, with how many workers, and what jobs are guaranteed and owed then."""
 
     unix_ms: int
     now_ms: int
     worker_count: int
     entitled: AbstractSet[str]
+    beyond_owed: Callable[[BatchJob], bool]
 
 
 def ready_steps(
@@ -80,12 +82,22 @@
     bounds: Bounds,
     worker_count: int,
     rotation: JobRotation | None = None,
+    owed: OwedRates | None = None,
 ) -> list[ReadyStep]:
     """Return steps with tasks that may start now, as many as one pass may place.
 
-    With a `rotation`, the jobs that are left out are offered by the next passes.
+    With a `rotation`, the jobs that are left out are offered by the next passes. `owed` has the
+    jobs by which organisations are beyond what they are owed.
     """
-    moment = _Moment(unix_ms, now_ms, worker_count, entitled_jobs(tracker, operator))
+    organisations = operator.configuration.organisations if operator.configuration else {}
+    rates = owed or OwedRates()
+    moment = _Moment(
+        unix_ms,
+        now_ms,
+        worker_count,
+        entitled_jobs(tracker, operator),
+        lambda job: rates.beyond_owed(job, organisations),
+    )
     found: list[ReadyStep] = []
     turns = (rotation or JobRotation()).in_turns(tracker.jobs)
     unfinished: deque[tuple[TrackedJob, Iterator[StartableStep]]] = deque()
@@ -113,6 +125,7 @@
         return
     job = tracked.job
     placed_runs = _runs_by_worker(tracker, tracked)
+    beyond_owed = moment.beyond_owed(job)
     for occurrence, index, waiting in startable:
         step = job.steps[index]
         placed_on = placed_runs.get((occurrence, index), {})
@@ -137,6 +150,7 @@
             # With half of the workers or more to avoid, none are avoided: a worker on which a task
             # failed is better than none.
             avoid if len(avoid) * 2 < moment.worker_count else frozenset(),
+            beyond_owed=beyond_owed,
         )
 
 
@@ -265,4 +279,5 @@
         weighted_cores(step.demand) * (1_000 + lost_ms) / 1_000,
         gang,
         bool(run.stop_reason),
+        tracked.job.organisation,
     )
--- a/libs/coordinator/src/hornbeamfold/coordinator/session.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/session.py
@@ -92,6 +92,7 @@
         self._lease = WorkerLease(bounds, clock, lease_until_ms)
         self._acknowledged_end = 0
         self._reported_ms: int | None = None
+        self._has_reported = False
         self._unknown_runs = 0
         self._closed = False
         self._registered = True
@@ -130,6 +131,16 @@
         """Whether the worker listed runs that the job tracker does not have."""
         return self._unknown_runs > 0
 
+    @property
+    def unknown_runs_until_ms(self) -> int:
+        """The time by which runs that the job tracker does not have are over; 0 if there are none.
+
+        Until its first report, a worker may have such runs of a former coordinator.
+        """
+        if self._has_reported and not self._unknown_runs:
+            return 0
+        return self._lease.expired_by_ms
+
     @property
     def usable(self) -> bool:
         """Whether the worker is registered and reachable and has no unknown runs.
@@ -295,6 +306,7 @@
         self._lease.set_worker_clock(report.clock_ms)
         self._has_running_tasks = bool(report.running)
         self._reported_ms = now
+        self._has_reported = True
         self._hooks.on_report(self, report, sent_ms)
         if report.ended:
             self._record_ends(tuple(sorted(report.ended, key=lambda each: each.number)))
--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -6,6 +6,7 @@
 
 from hornbeamfold.batch import Clock, OperatorState, Resources, RunEnd, RunName, TaskRef, Worker
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
+from hornbeamfold.coordinator.organisation_use import NOTHING, is_within_limit
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.scheduling import Assignment
 from hornbeamfold.telemetry import get_logger
@@ -23,7 +24,10 @@
 
 @dataclass(frozen=True)
 class StartDependencies:
-    """What a RunStarter needs from its term."""
+    """What a RunStarter needs from its term.
+
+    `uncertain_use` returns the most that runs may use that the tracker does not know.
+    """
 
     tracker: JobTracker
     sessions: Mapping[str, Session]
@@ -34,6 +38,7 @@
     end: Callable[[RunName, RunEnd], None]
     clock: Clock
     cores: float = 1.0
+    uncertain_use: Callable[[], Resources] = lambda: NOTHING
 
 
 def max_pending_starts(cores: float) -> int:
@@ -142,6 +147,8 @@
         current = self._deps.tracker.runs.get(run.name)
         if current is None or current.stop_reason or run.name.job_id not in self._deps.tracker.jobs:
             return False
+        if not self._is_within_limit(run):
+            return False
         registered = self._deps.registry().get(worker.worker_id)
         if worker.draining or registered is None:
             return False
@@ -154,6 +161,26 @@
         known = known and not (session is not None and session.has_unknown_runs)
         return self._fits(run, registered.capacity if known else None)
 
+    def _is_within_limit(self, run: Run) -> bool:
+        """Return whether all that a run's organisation may have running is within its limit."""
+        organisation = self._deps.tracker.jobs[run.name.job_id].job.organisation
+        used = self._deps.tracker.used_by(organisation) + self._deps.uncertain_use()
+        configuration = self._deps.operator().configuration
+        if is_within_limit(configuration, organisation, used):
+            return True
+        logger.info(
+            "start_beyond_limit",
+            extra={
+                "request": run.name.job_id,
+                "task": list(run.name.task),
+                "run": run.name.run,
+                "organisation": organisation,
+                "used": astuple(used),
+                "configuration": None if configuration is None else configuration.version,
+            },
+        )
+        return False
+
     def _fits(self, run: Run, capacity: Resources | None) -> bool:
         """Return whether all runs on a worker, with this one, fit its capacity, if it is known."""
         reserved = self._deps.tracker.reserved_on(run.worker_id)
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -13,6 +13,7 @@
     KeyedRecord,
     OperatorState,
     Refusal,
+    Resources,
     RunEnd,
     RunName,
     TopicPort,
@@ -28,6 +29,8 @@
 from hornbeamfold.coordinator.journal import Journal
 from hornbeamfold.coordinator.lease import MIN_CLOCK_RATE, lease_ms
 from hornbeamfold.coordinator.orders import OrderHooks
+from hornbeamfold.coordinator.organisation_use import uncertain_use
+from hornbeamfold.coordinator.owed_rate import OwedRates
 from hornbeamfold.coordinator.pass_planner import PassPlanner, PlannerDependencies
 from hornbeamfold.coordinator.reports import ReportDependencies, WorkerReports
 from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
@@ -99,8 +102,11 @@
         self._record = CoordinatorRecord(deps.incarnation, epoch)
         self._tracker = JobTracker(deps.clock)
         self._health = WorkerHealth(deps.clock)
+        self._owed = OwedRates()
         self._planner = PassPlanner(
-            PlannerDependencies(self._tracker, self._health, deps.bounds, deps.clock, deps.wall)
+            PlannerDependencies(
+                self._tracker, self._health, deps.bounds, deps.clock, deps.wall, self._owed
+            )
         )
         self._losses = RunLosses(
             self._tracker,
@@ -144,6 +150,7 @@
                 on_state=self._announcer.announce,
                 on_runs_cancelled=self._on_runs_cancelled,
                 on_change=self._notify,
+                on_read=self._owed.add,
             ),
         )
         self._starter = RunStarter(
@@ -157,6 +164,7 @@
                 self._end_run,
                 deps.clock,
                 deps.cores,
+                self._uncertain_use,
             )
         )
         reports = WorkerReports(
@@ -203,6 +211,11 @@
         """Whether the term continues."""
         return self._active
 
+    @property
+    def limited_organisations(self) -> int:
+        """The number of organisations that wait for their limits."""
+        return self._planner.limited_organisations
+
     @property
     def runs(self) -> tuple[RunName, ...]:
         """The names of the runs that have not ended."""
@@ -424,10 +437,21 @@
             for worker_id, session in self._sessions.items()
             if worker_id not in unread_workers
         ]
-        new_plan = self._planner.plan(sessions, len(self._sessions), self._deps.operator())
+        new_plan = self._planner.plan(
+            sessions, len(self._sessions), self._deps.operator(), self._uncertain_use()
+        )
         if new_plan is not None:
             self._execute(new_plan)
 
+    def _uncertain_use(self) -> Resources:
+        """Return the most that runs may use that the tracker does not know."""
+        return uncertain_use(
+            [(each.worker, each.unknown_runs_until_ms) for each in self._sessions.values()],
+            set(self._unread_runs().values()),
+            self._tracker.reserved_on,
+            self._deps.clock(),
+        )
+
     def _execute(self, new_plan: Plan) -> None:
         for preemption in new_plan.preemptions:
             logger.info(
--- a/libs/gateway/src/hornbeamfold/gateway/jobs.py
+++ b/libs/gateway/src/hornbeamfold/gateway/jobs.py
@@ -8,6 +8,7 @@
     Clock,
     KeyedRecord,
     NotStored,
+    Organisation,
     Rejected,
     Stored,
     StoreUnknown,
@@ -15,6 +16,7 @@
     stored_bytes,
 )
 from hornbeamfold.batch import JobState as State
+from hornbeamfold.gateway.limits import limit_problem
 from hornbeamfold.ledger import Follower, Replica, encode_cancel, encode_job
 from hornbeamfold.model import ErrorKind, Refused
 from hornbeamfold.telemetry import counter, get_logger, histogram
@@ -58,13 +60,19 @@
         """The number of calls that wait for the store."""
         return self._in_flight
 
-    def submit(self, job: BatchJob, deadline_ms: int) -> State | Refused:
+    def submit(
+        self, job: BatchJob, deadline_ms: int, organisation: Organisation | None = None
+    ) -> State | Refused:
         """Store a job, unless a job with the same id is known: that is the same job.
 
         `deadline_ms` is a time of the local clock. Returns a refusal with "not run" only if the
-        store has refused every attempt, or cannot store a job of this size.
+        store has refused every attempt, or cannot store a job of this size, or if the limit of its
+        organisation can never have room for it.
         """
         if self._replica.job(job.job_id) is None:
+            refused = self._beyond_limit(job, organisation)
+            if refused is not None:
+                return self._log_answer("submit", job.job_id, refused)
             refused = self._store(encode_job(job), deadline_ms)
             if refused is not None:
                 return self._log_answer("submit", job.job_id, refused)
@@ -94,6 +102,19 @@
         """Return how many jobs of a queue have not started."""
         return self._replica.pending_count(queue)
 
+    def _beyond_limit(self, job: BatchJob, organisation: Organisation | None) -> Refused | None:
+        """Return a refusal if a job that is not in the log can never run within a limit.
+
+        A repeated call may bring a job that was accepted when the limit was higher.
+        """
+        problem = limit_problem(job, organisation)
+        if not problem:
+            return None
+        missing = self._find_in_log(job.job_id)
+        if missing is None or missing.kind is not ErrorKind.UNKNOWN_JOB:
+            return missing
+        return Refused(ErrorKind.INFEASIBLE, problem)
+
     def _find_in_log(self, job_id: str) -> Refused | None:
         """Read to the end of the log; return a refusal if the job is still unknown."""
         log_read = self._follower.confirm()
--- a/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
@@ -13,11 +13,13 @@
     no_slowdown,
     weighted_cores,
 )
+from hornbeamfold.scheduling.organisation_limits import OrganisationUse, can_start_any
 from hornbeamfold.scheduling.plan import plan
 
 __all__ = [
     "Assignment",
     "CandidateWorker",
+    "OrganisationUse",
     "PlacedRun",
     "Plan",
     "Preemption",
@@ -25,6 +27,7 @@
     "Slowdown",
     "Wait",
     "WaitReason",
+    "can_start_any",
     "no_slowdown",
     "plan",
     "weighted_cores",
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -46,6 +46,7 @@
     which these tasks should not start again. Each task of an `isolated` step gets a worker without
     other runs; only members of one gang may share workers. `any_worker` allows last resorts.
     `learned_ms` is the duration of a task that earlier ones suggest, on a worker of usual speed.
+    `beyond_owed` jobs are beyond the rate at which their organisation is owed service.
     """
 
     job: BatchJob
@@ -62,6 +63,7 @@
     isolated: bool = False
     any_worker: bool = False
     learned_ms: int | None = None
+    beyond_owed: bool = False
 
     @property
     def step(self) -> Step:
@@ -113,6 +115,7 @@
     lost_work: float
     gang: tuple[str, int, int] | None = None
     stopping: bool = False
+    organisation: str = ""
 
 
 @dataclass(frozen=True)
@@ -137,6 +140,7 @@
 class WaitReason(StrEnum):
     """Why a ready step waits; the first that applies, in this order."""
 
+    LIMIT = "limit"  # its organisation has running what it may
     NO_ROOM = "no_room"  # free resources of eligible workers are not enough
     RESERVED = "reserved"  # they are reserved for steps ahead in the queue
     HEADROOM = "headroom"  # they are kept free for urgent work
@@ -169,10 +173,12 @@
     """The decisions of one pass.
 
     `blocked` counts ready steps with tasks that did not fit. `waits` explains the first of those
-    whose job has had no run for a while.
+    whose job has had no run for a while. `limited` are the organisations with steps that wait for
+    their limits.
     """
 
     assignments: tuple[Assignment, ...] = ()
     preemptions: tuple[Preemption, ...] = ()
     blocked: int = 0
     waits: tuple[Wait, ...] = ()
+    limited: frozenset[str] = frozenset()
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -20,9 +20,15 @@
     weighted_cores,
 )
 from hornbeamfold.scheduling.locality import candidate_groups
+from hornbeamfold.scheduling.organisation_limits import (
+    NO_ORGANISATIONS,
+    OrganisationLimits,
+    OrganisationUse,
+)
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import reserve
-from hornbeamfold.scheduling.waits import explain_wait
+from hornbeamfold.scheduling.shares import OrganisationShares
+from hornbeamfold.scheduling.waits import explain_limit, explain_wait
 
 # The maximum number of blocked steps with reserved capacity. With one, every large gang further
 # back would overtake a large gang near the head of the queue; with many, most of the capacity would
@@ -44,17 +50,21 @@
 NO_HEADROOM: Mapping[str, int] = {}
 
 
-def order_key(step: ReadyStep, now_ms: int) -> tuple[bool, bool, int, bool, int, str, int, int]:
+def order_key(
+    step: ReadyStep, now_ms: int
+) -> tuple[bool, bool, int, bool, bool, int, str, int, int]:
     """Return the queue sort key: guaranteed work first, then by priority, then by objective.
 
-    Steps that can't end in time to be of use come after all that can. Within a priority, steps that
-    can't meet their objective come after those that can.
+    Steps that can't end in time to be of use come after all that can. Within a priority, jobs
+    beyond what their organisation is owed come last, and steps that can't meet their objective come
+    after those that can.
     """
     earliest_end_ms = now_ms + step.expected_ms
     return (
         not step.entitled,
         earliest_end_ms > step.expired_ms,
         step.job.priority,
+        step.beyond_owed,
         earliest_end_ms > step.due_ms,
         step.due_ms,
         step.job.job_id,
@@ -70,15 +80,19 @@
     now_ms: int,
     headroom: Mapping[str, int] = NO_HEADROOM,
     slowdown: Slowdown = no_slowdown,
+    organisations: Mapping[str, OrganisationUse] = NO_ORGANISATIONS,
 ) -> Plan:
     """Return the starts and preemptions to carry out now; times are on the coordinator's clock.
 
     `headroom` is the number of accelerators of each service that non-urgent work leaves free for
     the urgent work that is expected, so that fewer runs have to be preempted for it. `slowdown`
-    returns how many times as long as usual a task of a step takes on a worker.
+    returns how many times as long as usual a task of a step takes on a worker. `organisations` are
+    those with limits or shares.
     """
-    run = _Pass(workers, placed_runs, now_ms, headroom, slowdown)
-    for step in sorted(steps, key=lambda each: order_key(each, now_ms)):
+    limits = OrganisationLimits(organisations, placed_runs, now_ms)
+    shares = OrganisationShares(organisations, steps, workers, now_ms)
+    run = _Pass(workers, placed_runs, now_ms, headroom, slowdown, limits, shares)
+    for step in shares.in_order(sorted(steps, key=lambda each: order_key(each, now_ms))):
         run.place(step)
     return run.result()
 
@@ -93,7 +107,11 @@
         now_ms: int,
         headroom: Mapping[str, int],
         slowdown: Slowdown,
+        limits: OrganisationLimits,
+        shares: OrganisationShares,
     ) -> None:
+        self._limits = limits
+        self._shares = shares
         self._cluster = ClusterCapacity(workers, slowdown)
         self._idle_jobs = IdleJobPlacement(self._cluster, now_ms)
         self._placed_runs = placed_runs
@@ -117,10 +135,35 @@
     def result(self) -> Plan:
         """Return the decisions so far."""
         return Plan(
-            tuple(self._assignments), tuple(self._preemptions), self._blocked, tuple(self._waits)
+            tuple(self._assignments),
+            tuple(self._preemptions),
+            self._blocked,
+            tuple(self._waits),
+            self._limits.limited,
         )
 
     def place(self, step: ReadyStep) -> None:
+        """Place the waiting tasks of a step that its organisation's limit has room for."""
+        startable = self._limits.startable(step)
+        if startable == len(step.waiting):
+            self._place_startable(step)
+            return
+        if startable:
+            self._place_startable(replace(step, waiting=step.waiting[:startable]))
+        else:
+            self._blocked += 1
+            self._explain(explain_limit(self._cluster, step, self._now_ms))
+        self._wait_for_limit(replace(step, waiting=step.waiting[startable:]))
+
+    def _wait_for_limit(self, step: ReadyStep) -> None:
+        """Keep a part of its organisation's limit for a step, and preempt for it, if it may."""
+        if step.entitled or _may_preempt(step, self._now_ms):
+            max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
+            victims = self._limits.runs_to_preempt(step, self._preemptible_runs, max_lost_work)
+            self._preempt(step, victims)
+        self._limits.hold(step)
+
+    def _place_startable(self, step: ReadyStep) -> None:
         """Place the waiting tasks of a step, or preempt or reserve what they need."""
         groups = candidate_groups(self._cluster, step, self._now_ms)
         headroom = self._headroom.get(step.job.service, 0)
@@ -135,16 +178,20 @@
             return
         self._blocked += 1
         if not chosen and len(self._waits) < MAX_EXPLAINED_WAITS:
-            wait = explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms)
-            if wait is not None:
-                self._waits.append(wait)
+            self._explain(explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms))
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
         if self._make_room(unplaced, groups) or chosen:
             return
         self._reserve(step, groups)
 
+    def _explain(self, wait: Wait | None) -> None:
+        if wait is not None and len(self._waits) < MAX_EXPLAINED_WAITS:
+            self._waits.append(wait)
+
     def _assign(self, step: ReadyStep, workers: Sequence[str], reason: str) -> None:
         """Assign the first waiting tasks of a step to these workers."""
+        self._limits.start(step, len(workers))
+        self._shares.start(step, len(workers))
         for index, worker_id in zip(step.waiting, workers, strict=False):
             self._cluster.allocate(worker_id, step.step.reserved)
             self._assignments.append(
@@ -210,11 +257,14 @@
             self._cluster.add_reservation(
                 Reservation(worker_id, step.step.reserved, self._now_ms, firm=True)
             )
-        self._preemptible_runs.mark_stopping(found.victims)
+        self._preempt(step, found.victims)
+        return True
+
+    def _preempt(self, step: ReadyStep, victims: Sequence[PlacedRun]) -> None:
+        self._preemptible_runs.mark_stopping(victims)
         self._preemptions.extend(
-            Preemption(each.name, each.worker_id, step.job.job_id) for each in found.victims
+            Preemption(each.name, each.worker_id, step.job.job_id) for each in victims
         )
-        return True
 
 
 def _placement_reason(step: ReadyStep) -> str:
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -31,6 +31,8 @@
         self._stopping_resources: dict[str, Resources] = {}
         self._gangs: dict[Gang, list[PlacedRun]] = {}
         self._victims: dict[PlacedRun, None] = {}
+        self._by_organisation: dict[str, list[PlacedRun]] = {}
+        self._stopping_of: dict[str, Resources] = {}
         for run in placed_runs:
             if run.gang is not None:
                 self._gangs.setdefault(run.gang, []).append(run)
@@ -38,12 +40,14 @@
                 self._add_stopping(run)
             elif not run.protected:
                 self._by_worker.setdefault(run.worker_id, []).append(run)
-        for runs in self._by_worker.values():
+                self._by_organisation.setdefault(run.organisation, []).append(run)
+        for runs in (*self._by_worker.values(), *self._by_organisation.values()):
             runs.sort(key=lambda each: (each.lost_work, each.name))
 
     def _add_stopping(self, run: PlacedRun) -> None:
         before = self._stopping_resources.get(run.worker_id, Resources())
         self._stopping_resources[run.worker_id] = before + run.reserved
+        self._stopping_of[run.organisation] = self.stopping_of(run.organisation) + run.reserved
 
     def mark_stopping(self, runs: Iterable[PlacedRun]) -> None:
         """Record that this pass preempts these runs."""
@@ -61,6 +65,16 @@
             if run.priority > priority and run not in self._victims:
                 yield run
 
+    def stopping_of(self, organisation: str) -> Resources:
+        """Return what the stopping runs of an organisation will free."""
+        return self._stopping_of.get(organisation, Resources())
+
+    def of_organisation(self, organisation: str, priority: int) -> Iterable[PlacedRun]:
+        """Yield an organisation's runs that may be preempted for a job of this priority."""
+        for run in self._by_organisation.get(organisation, ()):
+            if run.priority > priority and run not in self._victims:
+                yield run
+
     def gang_members(self, run: PlacedRun) -> Iterable[PlacedRun]:
         """Return the runs that end with a run; a gang goes on only as a whole."""
         if run.gang is None:
--- a/libs/scheduling/src/hornbeamfold/scheduling/waits.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/waits.py
@@ -33,6 +33,25 @@
         reason = WaitReason.RESERVED
     elif max_tasks < needed:
         reason = WaitReason.HEADROOM
+    return _wait(cluster, step, reason, idle_ms, fitting, headroom)
+
+
+def explain_limit(cluster: ClusterCapacity, step: ReadyStep, now_ms: int) -> Wait | None:
+    """Return that a step waits for its organisation's limit, if its job has waited for a while."""
+    idle_ms = step.idle_ms(now_ms)
+    if idle_ms < EXPLAINED_IDLE_MS:
+        return None
+    return _wait(cluster, step, WaitReason.LIMIT, idle_ms, 0, 0)
+
+
+def _wait(
+    cluster: ClusterCapacity,
+    step: ReadyStep,
+    reason: WaitReason,
+    idle_ms: int,
+    fitting: int,
+    headroom: int,
+) -> Wait:
     service = step.job.service
     return Wait(
         step.job.job_id,
@@ -40,7 +59,7 @@
         step.step_index,
         reason,
         idle_ms,
-        waiting,
+        len(step.waiting),
         fitting,
         cluster.idle_accelerators(service),
         cluster.total_accelerators(service),
