Learn how fast workers are, and place work by it

Cause: workers at 0.6, 1.0 and 1.6 of the usual speed count as alike, so urgent gangs that start at once end late on slow ones. Change: a new library, estimates, believes a speed of each worker: the median over its runs of how fast they progress relative to their siblings elsewhere, corrected by what is believed of those workers. Few samples, or differences that chance explains, leave a worker as usual; usual is the middle of all. Urgent work takes the fastest workers, and the rack whose slowest needed one is the fastest; other work takes the slowest on which it ends in time. Workers three times as slow as usual are last resorts, unless most are. A task on a slow worker counts as ending later, beside reservations. Result: tests of estimates, scheduling, coordinator; nothing changes where all workers are alike.

--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -37,6 +37,7 @@
     "ledger",
     "relay",
     "scheduling",
+    "estimates",
     "gateway",
     "coordinator",
     "platform",
--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -14,9 +14,10 @@
     candidate_workers,
     ready_steps,
 )
+from hornbeamfold.coordinator.run_speeds import RunSpeeds
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.wait_log import WaitLog
-from hornbeamfold.scheduling import Plan, plan
+from hornbeamfold.scheduling import Plan, Slowdown, plan, product
 from hornbeamfold.telemetry import get_logger, histogram
 
 logger = get_logger("hornbeamfold.coordinator.pass_planner")
@@ -29,6 +30,7 @@
 
     tracker: JobTracker
     health: WorkerHealth
+    speeds: RunSpeeds
     bounds: Bounds
     clock: Clock
     unix_clock: Clock
@@ -54,7 +56,10 @@
         """
         tracker, health = self._deps.tracker, self._deps.health
         began = self._deps.clock()
-        candidates = candidate_workers(sessions, tracker, health, operator)
+        self._deps.speeds.update()
+        candidates = self._deps.speeds.with_last_resorts(
+            candidate_workers(sessions, tracker, health, operator)
+        )
         steps = ready_steps(
             tracker,
             operator,
@@ -70,12 +75,16 @@
         self._urgent_demand.record(steps, began)
         headroom = self._urgent_demand.headroom()
         placed_runs = self._placed_runs.current(tracker, began)
-        new_plan = plan(steps, candidates, placed_runs, began, headroom)
+        new_plan = plan(steps, candidates, placed_runs, began, headroom, self._slowdown())
         _plan_ms(self._deps.clock() - began)
         ordinary = sum(not each.last_resort for each in candidates)
         self._wait_log.record(new_plan.waits, ordinary, health.excluded_count, all_workers)
         return new_plan
 
+    def _slowdown(self) -> Slowdown:
+        """Return how many times as long as usual tasks take on the workers, for all causes."""
+        return product((self._deps.speeds.slowdown(),))
+
     def _log_limited_offers(self, steps: int) -> None:
         """Log when passes begin or cease to leave out steps that are ready."""
         limited = steps >= MAX_OFFERED_STEPS
--- /dev/null
+++ b/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
@@ -0,0 +1,115 @@
+"""Learns from the reports of workers how fast they are."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from math import log
+
+from hornbeamfold.batch import Clock, RunningTask, Worker
+from hornbeamfold.coordinator.job_tracker import JobTracker
+from hornbeamfold.coordinator.stragglers import is_comparable
+from hornbeamfold.estimates import ProgressRates, SiblingDurations, SpeedChange, WorkerSpeeds
+from hornbeamfold.scheduling import CandidateWorker, ReadyStep, Slowdown, no_slowdown
+from hornbeamfold.telemetry import counter, get_logger
+
+logger = get_logger("hornbeamfold.coordinator.run_speeds")
+_changes = counter("hornbeamfold_worker_speed_changes", "Workers thought to have another speed.")
+
+# The changes of one update that are logged one by one.
+MAX_LOGGED_CHANGES = 16
+
+
+class RunSpeeds:
+    """The speeds of the workers of one term, learned from the progress of comparable runs."""
+
+    def __init__(self, tracker: JobTracker, clock: Clock) -> None:
+        self._tracker = tracker
+        self._clock = clock
+        self._rates = ProgressRates()
+        self._siblings = SiblingDurations()
+        self._speeds = WorkerSpeeds()
+
+    def observe(self, worker: Worker, running: Sequence[RunningTask]) -> None:
+        """Take in the progress that a worker reports."""
+        if worker.cold_remaining_ms > 0:
+            return
+        now = self._clock()
+        worker_id = worker.worker_id
+        for task in running:
+            run = self._tracker.runs.get(task.name)
+            tracked = self._tracker.jobs.get(task.name.job_id)
+            if run is None or tracked is None or run.worker_id != worker_id or run.stop_reason:
+                continue
+            step = tracked.job.steps[task.name.task.step]
+            if step.long_running or step.best_effort or not is_comparable(step):
+                continue
+            duration_ms = self._rates.duration_ms(task, now)
+            if duration_ms is None:
+                continue
+            self._siblings.add(task.name, worker_id, duration_ms)
+            log_ms = self._siblings.log_usual_ms(task.name, worker_id, self._speeds.log_speed)
+            if log_ms is None:
+                continue
+            self._speeds.add_sample(
+                worker_id, worker.born_ms, task.name, log_ms - log(duration_ms), now
+            )
+
+    def update(self) -> None:
+        """Update what is believed from what was observed."""
+        changes = self._speeds.update(self._clock())
+        if changes is None:
+            return
+        self._rates.retain(self._tracker.runs)
+        self._siblings.retain(self._tracker.jobs)
+        for change in changes[:MAX_LOGGED_CHANGES]:
+            _log_change(change)
+        if changes:
+            for change in changes:
+                _changes(1, to=_direction(change))
+            logger.info(
+                "worker_speeds",
+                extra={"changed": len(changes), "unusual": len(self._speeds.slowdowns)},
+            )
+
+    def slowdown(self) -> Slowdown:
+        """Return how many times as long as usual tasks take on each worker, as believed now."""
+        slowdowns = self._speeds.slowdowns
+        if not slowdowns:
+            return no_slowdown
+
+        def slowdown(step: ReadyStep, worker: CandidateWorker) -> float:
+            return slowdowns.get(worker.worker_id, 1.0)
+
+        return slowdown
+
+    def with_last_resorts(self, candidates: Sequence[CandidateWorker]) -> list[CandidateWorker]:
+        """Return the workers, of which those that are much too slow are last resorts."""
+        by_service: dict[str, list[str]] = {}
+        for each in candidates:
+            by_service.setdefault(each.service, []).append(each.worker_id)
+        too_slow: set[str] = set()
+        for worker_ids in by_service.values():
+            too_slow.update(self._speeds.very_slow(worker_ids))
+        if not too_slow:
+            return list(candidates)
+        return [
+            replace(each, last_resort=True) if each.worker_id in too_slow else each
+            for each in candidates
+        ]
+
+
+def _direction(change: SpeedChange) -> str:
+    if change.after.level == 0:
+        return "usual"
+    return "faster" if change.after.level > 0 else "slower"
+
+
+def _log_change(change: SpeedChange) -> None:
+    logger.info(
+        "worker_speed_changed",
+        extra={
+            "worker": change.worker_id,
+            "was": round(change.before.speed, 2),
+            "speed": round(change.after.speed, 2),
+            "evidence": round(change.after.weight, 1),
+        },
+    )
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -31,6 +31,7 @@
 from hornbeamfold.coordinator.pass_planner import PassPlanner, PlannerDependencies
 from hornbeamfold.coordinator.reports import ReportDependencies, WorkerReports
 from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
+from hornbeamfold.coordinator.run_speeds import RunSpeeds
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
     RunsLost,
@@ -99,8 +100,11 @@
         self._record = CoordinatorRecord(deps.incarnation, epoch)
         self._tracker = JobTracker(deps.clock)
         self._health = WorkerHealth(deps.clock)
+        self._speeds = RunSpeeds(self._tracker, deps.clock)
         self._planner = PassPlanner(
-            PlannerDependencies(self._tracker, self._health, deps.bounds, deps.clock, deps.wall)
+            PlannerDependencies(
+                self._tracker, self._health, self._speeds, deps.bounds, deps.clock, deps.wall
+            )
         )
         self._losses = RunLosses(
             self._tracker,
@@ -164,6 +168,7 @@
                 self._tracker,
                 self._losses,
                 self._health,
+                self._speeds,
                 self._unread_runs,
                 self._intake.has_unread_run,
                 self._end_run,
--- a/libs/coordinator/tests/load_replay.py
+++ b/libs/coordinator/tests/load_replay.py
@@ -2,13 +2,13 @@
 
 A recording has the jobs of a day as they were submitted, how long their tasks took, the workers and
 the organisations' guarantees. Nothing fails and no call takes time, so that only the decisions on
-waiting, placing and preempting make a difference. Run as a program, this prints the result of a
-recording.
+waiting, placing and preempting make a difference. Workers may be given speeds that the planner has
+to learn. Run as a program, this prints the result of a recording.
 """
 
 import logging
 import sys
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -32,12 +32,14 @@
 from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.planner_inputs import PlacedRuns, ready_steps
+from hornbeamfold.coordinator.run_speeds import RunSpeeds
 from hornbeamfold.coordinator.tracked import EXPIRY_FACTOR, estimate_critical_path_ms
 from hornbeamfold.scheduling import (
     Assignment,
     CandidateWorker,
     Plan,
     ReadyStep,
+    no_slowdown,
     plan,
     weighted_cores,
 )
@@ -100,7 +102,7 @@
     begun_ms: int
     work_ms: float
     stop_at_ms: int | None = None
-    factor: int = 1
+    factor: float = 1.0
 
 
 def load(name: str) -> Recording:
@@ -108,22 +110,32 @@
     return msgspec.json.decode((FOLDER / name).read_bytes(), type=Recording)
 
 
-def replay(recording: Recording) -> Result:
-    """Replay a recording until all of its jobs have ended."""
-    return _Replay(recording).run()
+def replay(
+    recording: Recording, speeds: Sequence[float] = (1.0,), *, learning: bool = True
+) -> Result:
+    """Replay a recording until all of its jobs have ended.
+
+    Workers have these speeds by turns. Without `learning`, the planner takes them for alike.
+    """
+    return _Replay(recording, speeds, learning).run()
 
 
 class _Replay:
     """The state of a replay."""
 
-    def __init__(self, recording: Recording) -> None:
+    def __init__(self, recording: Recording, speeds: Sequence[float], learning: bool) -> None:
         self._recording = recording
+        self._learning = learning
         self._now_ms = 0
         self._tracker = JobTracker(lambda: self._now_ms)
         self._racks = {
             f"w{index}": f"r{index // recording.workers_per_rack}"
             for index in range(recording.workers)
         }
+        self._speeds = {
+            f"w{index}": speeds[index % len(speeds)] for index in range(recording.workers)
+        }
+        self._learned = RunSpeeds(self._tracker, lambda: self._now_ms)
         self._jobs = {each.job_id: each for each in recording.jobs}
         self._active: dict[RunName, _Active] = {}
         self._left_ms: dict[tuple[str, TaskRef], float] = {}
@@ -164,12 +176,14 @@
                 len(candidates),
             )
             urgent_demand.record(steps, self._now_ms)
+            self._learned.update()
             new_plan = plan(
                 steps,
                 candidates,
                 placed_runs.current(self._tracker, self._now_ms),
                 self._now_ms,
                 urgent_demand.headroom(),
+                self._learned.slowdown() if self._learning else no_slowdown,
             )
             self._record_idle_beside_room(steps, candidates)
             entitled = {each.job.job_id for each in steps if each.entitled}
@@ -226,7 +240,10 @@
             elif (self._now_ms - active.begun_ms) % REPORT_MS < PASS_MS:
                 total_ms = self._duration_ms(name)
                 percent = 100 * min(1.0, 1 - (active.work_ms - done_ms) / total_ms)
-                self._tracker.update_progress(RunningTask(name, "", max(0.0, percent)))
+                task = RunningTask(name, "", max(0.0, percent))
+                self._tracker.update_progress(task)
+                worker_id = self._tracker.runs[name].worker_id
+                self._learned.observe(self._worker(worker_id), [task])
 
     def _duration_ms(self, name: RunName) -> int:
         return self._recording.durations_ms[name.job_id][name.task.step]
@@ -282,22 +299,24 @@
 
     def _begin(self, job_id: str, group: Sequence[Assignment]) -> None:
         step = self._jobs[job_id].steps[group[0].task.step]
-        racks = {self._racks[each.worker_id] for each in group}
-        workers = [
-            Worker(each.worker_id, 1, "", "", "", self._recording.capacity) for each in group
-        ]
+        workers = [self._worker(each.worker_id) for each in group]
         for run in self._tracker.begin_runs(job_id, [each.task for each in group], workers):
             self._tracker.settle(run.name)
-            self._active[run.name] = _Active(
-                self._now_ms, self._work_ms(run), factor=self._factor(step, run, racks)
-            )
-
-    def _factor(self, step: Step, run: Run, racks: set[str]) -> int:
-        if step.one_rack and len(racks) > 1:
-            return REMOTE_FACTOR
-        if step.preferred_rack and self._racks[run.worker_id] != step.preferred_rack:
-            return REMOTE_FACTOR
-        return 1
+            together = workers if step.gang else [self._worker(run.worker_id)]
+            factor = self._factor(step, [each.worker_id for each in together])
+            self._active[run.name] = _Active(self._now_ms, self._work_ms(run), factor=factor)
+
+    def _worker(self, worker_id: str) -> Worker:
+        return Worker(worker_id, 1, "", "", "", self._recording.capacity)
+
+    def _factor(self, step: Step, workers: Iterable[str]) -> float:
+        """Return how many times as long as usual tasks take that run together on these workers."""
+        factor = 1 / min(self._speeds[each] for each in workers)
+        racks = {self._racks[each] for each in workers}
+        remote = step.one_rack and len(racks) > 1
+        if remote or (step.preferred_rack and racks != {step.preferred_rack}):
+            return REMOTE_FACTOR * factor
+        return factor
 
     def _work_ms(self, run: Run) -> float:
         left_ms = self._left_ms.get((run.name.job_id, run.name.task))
--- /dev/null
+++ b/libs/coordinator/tests/test_run_speeds.py
@@ -0,0 +1,118 @@
+"""Tests of learning the speeds of workers from their reports."""
+
+import logging
+import unittest
+from collections.abc import Mapping
+from dataclasses import replace
+
+from coordinator_cases import ManualClock, job, tracker_with, worker
+
+from hornbeamfold.batch import BatchJob, Resources, RunName, RunningTask, Step, TaskRef, Worker
+from hornbeamfold.coordinator.run_speeds import RunSpeeds
+from hornbeamfold.scheduling import CandidateWorker, ReadyStep, no_slowdown
+
+WORKERS = 6
+TASKS_EACH = 6
+STEP = Step(WORKERS * TASKS_EACH, Resources(1), 2_500)
+SLOW = "w0"
+
+
+def candidate(worker_id: str) -> CandidateWorker:
+    """Return an idle worker."""
+    each = worker(worker_id)
+    return CandidateWorker(
+        worker_id, each.service, "", "", frozenset(), each.capacity, each.capacity
+    )
+
+
+class RunSpeedsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.addCleanup(logging.disable, logging.NOTSET)
+        logging.disable(logging.CRITICAL)
+        self.clock = ManualClock(0)
+
+    def learned(
+        self,
+        step: Step = STEP,
+        speeds: Mapping[str, float] | None = None,
+        slow_worker: Mapping[str, object] | None = None,
+    ) -> RunSpeeds:
+        """Return what is learned from 3 s of a job of which each worker runs some tasks.
+
+        The worker `SLOW` is four times as slow as usual, unless `speeds` say otherwise.
+        """
+        speeds = {SLOW: 0.25} if speeds is None else speeds
+        tracker = tracker_with(self.clock, job("a", step))
+        learned = RunSpeeds(tracker, self.clock)
+        workers = [worker(f"w{index}") for index in range(WORKERS)]
+        workers[0] = replace(workers[0], **(slow_worker or {}))  # type: ignore[arg-type]
+        refs = [TaskRef(0, 0, index) for index in range(step.count)]
+        tracker.begin_runs("a", refs, [each for each in workers for _ in range(TASKS_EACH)])
+        for second in range(4):
+            for each in workers:
+                learned.observe(each, self._report(tracker.runs_on(each.worker_id), second, speeds))
+            self.clock.move(1_000)
+            learned.update()
+        return learned
+
+    def _report(self, runs, second: int, speeds: Mapping[str, float]) -> list[RunningTask]:
+        return [
+            RunningTask(run.name, "", 20.0 * second * speeds.get(run.worker_id, 1.0))
+            for run in runs
+        ]
+
+    def slowdown(self, learned: RunSpeeds, worker_id: str = SLOW) -> float:
+        a_job: BatchJob = job("b", STEP)
+        step = ReadyStep(a_job, 0, 0, (0,), 0, 1_000)
+        return learned.slowdown()(step, candidate(worker_id))
+
+    def test_a_worker_whose_tasks_lag_behind_their_siblings_is_slow(self) -> None:
+        learned = self.learned()
+        self.assertGreater(self.slowdown(learned), 3)
+        self.assertEqual(self.slowdown(learned, "w1"), 1.0)
+        last_resorts = [
+            each.worker_id
+            for each in learned.with_last_resorts([candidate(f"w{i}") for i in range(WORKERS)])
+            if each.last_resort
+        ]
+        self.assertEqual(last_resorts, [SLOW])
+
+    def test_workers_that_are_alike_change_no_plan(self) -> None:
+        self.assertIs(self.learned(speeds={}).slowdown(), no_slowdown)
+
+    def test_odd_estimates_teach_nothing(self) -> None:
+        """A caller's estimate that is off by far makes no worker slow."""
+        learned = self.learned(replace(STEP, estimate_ms=10), {})
+        self.assertIs(learned.slowdown(), no_slowdown)
+
+    def test_tasks_that_are_slow_for_other_reasons_teach_nothing(self) -> None:
+        cases: list[tuple[str, Step, Mapping[str, object]]] = [
+            ("members of a gang progress together", replace(STEP, gang=True), {}),
+            ("away from its data", replace(STEP, preferred_rack="r2"), {}),
+            ("uses what others leave over", replace(STEP, best_effort=True), {}),
+            ("runs for ever", replace(STEP, long_running=True), {}),
+            ("a cold worker", STEP, {"cold_remaining_ms": 5_000}),
+        ]
+        for name, step, changes in cases:
+            with self.subTest(name):
+                learned = self.learned(step, slow_worker=changes)
+                self.assertEqual(self.slowdown(learned), 1.0)
+
+    def test_a_takeover_begins_with_workers_of_usual_speed(self) -> None:
+        """What is learned is lost in a takeover, and learned again within seconds."""
+        tracker = tracker_with(self.clock)
+        self.assertIs(RunSpeeds(tracker, self.clock).slowdown(), no_slowdown)
+        self.assertGreater(self.slowdown(self.learned()), 3)
+
+    def test_reports_of_runs_that_are_not_known_are_ignored(self) -> None:
+        learned = RunSpeeds(tracker_with(self.clock), self.clock)
+        each: Worker = worker()
+        for percent in (10.0, 20.0):
+            learned.observe(each, [RunningTask(RunName("x", TaskRef(0, 0, 0), 1), "", percent)])
+            self.clock.move(1_000)
+            learned.update()
+        self.assertIs(learned.slowdown(), no_slowdown)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
@@ -14,6 +14,7 @@
     weighted_cores,
 )
 from hornbeamfold.scheduling.plan import plan
+from hornbeamfold.scheduling.worker_choice import product
 
 __all__ = [
     "Assignment",
@@ -27,5 +28,6 @@
     "WaitReason",
     "no_slowdown",
     "plan",
+    "product",
     "weighted_cores",
 ]
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -10,6 +10,7 @@
 
 from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.inputs import CandidateWorker, ReadyStep, Slowdown, no_slowdown
+from hornbeamfold.scheduling.worker_choice import reluctance
 
 # Weight of the accelerator share relative to the CPU and memory shares in the best-fit score.
 # Accelerators are allocated in whole units, so fragmentation wastes them the most.
@@ -56,9 +57,13 @@
     """The free capacity of each worker, reduced as tasks are placed."""
 
     def __init__(
-        self, workers: Iterable[CandidateWorker], slowdown: Slowdown = no_slowdown
+        self,
+        workers: Iterable[CandidateWorker],
+        slowdown: Slowdown = no_slowdown,
+        now_ms: int = 0,
     ) -> None:
         self._slowdown = slowdown
+        self._now_ms = now_ms
         self._workers: dict[str, CandidateWorker] = {}
         self._free: dict[str, Resources] = {}
         # The workers with runs, which may have reserved nothing.
@@ -130,6 +135,17 @@
         """Return how many times as long as usual a task of a step takes on a worker."""
         return self._slowdown(step, self._workers[worker_id])
 
+    @property
+    def is_even(self) -> bool:
+        """Whether all workers are equally fast for every task."""
+        return self._slowdown is no_slowdown
+
+    def reluctance(self, step: ReadyStep, worker_id: str) -> float:
+        """Return the rank of a worker for a step by its speed; the lowest are taken first."""
+        if self.is_even:
+            return 0.0
+        return reluctance(step, self.slowdown(step, worker_id), self._now_ms)
+
     def has_worker(self, worker_id: str) -> bool:
         """Return whether the worker accepts new tasks."""
         return worker_id in self._workers
@@ -289,7 +305,7 @@
 ) -> list[str]:
     """Return workers for up to `count` tasks of a step, without allocating.
 
-    The fastest come first, and of equally fast ones the best fit.
+    Those that suit the step best by their speed come first, and of equally fast ones the best fit.
     """
     ranked: list[tuple[float, float, str, int]] = []
     demand = step.step.reserved
@@ -300,7 +316,7 @@
         fit = fitting_tasks(step, cluster.worker(worker_id), resources, count)
         if fit > 0:
             share = remaining_share(cluster.worker(worker_id), resources)
-            ranked.append((cluster.slowdown(step, worker_id), share, worker_id, fit))
+            ranked.append((cluster.reluctance(step, worker_id), share, worker_id, fit))
     ranked.sort()
     chosen: list[str] = []
     for _, _, worker_id, fit in ranked:
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -5,6 +5,7 @@
 from functools import cached_property
 from math import inf
 
+from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.cluster import ClusterCapacity, Reservation, WorkerGroup, pack
 from hornbeamfold.scheduling.idle_jobs import MAX_IDLE_MS, IdleJobPlacement
 from hornbeamfold.scheduling.inputs import (
@@ -94,7 +95,7 @@
         headroom: Mapping[str, int],
         slowdown: Slowdown,
     ) -> None:
-        self._cluster = ClusterCapacity(workers, slowdown)
+        self._cluster = ClusterCapacity(workers, slowdown, now_ms)
         self._idle_jobs = IdleJobPlacement(self._cluster, now_ms)
         self._placed_runs = placed_runs
         self._now_ms = now_ms
@@ -260,17 +261,39 @@
     count: int,
 ) -> list[str]:
     """Return workers for `count` waiting tasks: all or none of a gang, otherwise as many as fit."""
-    ends_ms = now_ms + step.expected_ms
-    needed = step.step.demand.accelerators
     best: list[str] = []
+    if count == 0:
+        return best
+    best_reluctance = inf
+    needed = step.step.demand.accelerators
+
+    def available(worker_id: str) -> Resources:
+        took_ms = int(step.expected_ms * cluster.slowdown(step, worker_id))
+        return cluster.available(worker_id, now_ms + took_ms)
+
     for group in groups:
+        if len(best) == count and not _may_be_faster(cluster, step, group):
+            break
         idle = cluster.idle_accelerators(step.job.service, group.rack)
         if idle < needed * (count if step.step.gang else 1):
             continue
         members = cluster.members_with_accelerators(step, group)
-        chosen = pack(cluster, step, count, members, lambda each: cluster.available(each, ends_ms))
+        chosen = pack(cluster, step, count, members, available)
         if len(chosen) == count:
-            return chosen
-        if len(chosen) > len(best) and not step.step.gang:
+            slowest = max(cluster.reluctance(step, each) for each in chosen)
+            if slowest < best_reluctance:
+                best, best_reluctance = chosen, slowest
+        elif len(chosen) > len(best) and not step.step.gang:
             best = chosen
     return best
+
+
+def _may_be_faster(cluster: ClusterCapacity, step: ReadyStep, group: WorkerGroup) -> bool:
+    """Return whether a step that fits elsewhere may be faster in this group.
+
+    A gang for one rack is as fast as its slowest worker, whichever rack it gets. Away from its data
+    or across racks it would take several times as long.
+    """
+    if cluster.is_even or group.rack is None:
+        return False
+    return step.step.gang and step.step.one_rack and not step.step.preferred_rack
