--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -38,6 +38,7 @@
     "ledger",
     "relay",
     "scheduling",
+    "estimates",
     "gateway",
     "coordinator",
     "platform",
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -34,6 +34,7 @@
 from hornbeamfold.coordinator.pass_planner import PassPlanner, PlannerDependencies
 from hornbeamfold.coordinator.reports import ReportDependencies, WorkerReports
 from hornbeamfold.coordinator.run_losses import LossHooks, RunLosses
+from hornbeamfold.coordinator.run_speeds import RunSpeeds
 from hornbeamfold.coordinator.session import (
     MAX_RENEWAL_STATE_AGE_MS,
     RunsLost,
@@ -102,10 +103,17 @@
         self._record = CoordinatorRecord(deps.incarnation, epoch)
         self._tracker = JobTracker(deps.clock)
         self._health = WorkerHealth(deps.clock)
+        self._speeds = RunSpeeds(self._tracker, deps.clock)
         self._owed = OwedRates()
         self._planner = PassPlanner(
             PlannerDependencies(
-                self._tracker, self._health, deps.bounds, deps.clock, deps.wall, self._owed
+                self._tracker,
+                self._health,
+                self._speeds,
+                deps.bounds,
+                deps.clock,
+                deps.wall,
+                self._owed,
             )
         )
         self._losses = RunLosses(
@@ -172,6 +180,7 @@
                 self._tracker,
                 self._losses,
                 self._health,
+                self._speeds,
                 self._unread_runs,
                 self._intake.has_unread_run,
                 self._end_run,
--- a/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
@@ -15,6 +15,7 @@
 )
 from hornbeamfold.scheduling.organisation_limits import OrganisationUse, can_start_any
 from hornbeamfold.scheduling.plan import plan
+from hornbeamfold.scheduling.worker_choice import product
 
 __all__ = [
     "Assignment",
@@ -30,5 +31,6 @@
     "can_start_any",
     "no_slowdown",
     "plan",
+    "product",
     "weighted_cores",
 ]
