Keep room that runs were stopped for with the step that it is for

Cause: what preemption had freed for a guaranteed step went to whichever step came first in the next pass, and the step stopped other runs.

Change: a plan returns claims, and the next pass holds them against other steps until the turn of their own. They are kept in memory only; a new coordinator begins without them and may stop more runs.

--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -16,7 +16,7 @@
 )
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.wait_log import WaitLog
-from hornbeamfold.scheduling import Plan, plan
+from hornbeamfold.scheduling import Claim, Plan, plan
 from hornbeamfold.telemetry import get_logger, histogram
 
 logger = get_logger("hornbeamfold.coordinator.pass_planner")
@@ -43,6 +43,7 @@
         self._placed_runs = PlacedRuns()
         self._rotation = JobRotation()
         self._offers_limited = False
+        self._claims: tuple[Claim, ...] = ()
         self._wait_log = WaitLog(deps.clock)
 
     def plan(
@@ -66,11 +67,13 @@
         )
         self._log_limited_offers(len(steps))
         if not steps:
+            self._claims = ()
             return None
         self._urgent_demand.record(steps, began)
         headroom = self._urgent_demand.headroom()
         placed_runs = self._placed_runs.current(tracker, began)
-        new_plan = plan(steps, candidates, placed_runs, began, headroom)
+        new_plan = plan(steps, candidates, placed_runs, began, headroom, claims=self._claims)
+        self._claims = new_plan.claims
         _plan_ms(self._deps.clock() - began)
         ordinary = sum(not each.last_resort for each in candidates)
         self._wait_log.record(new_plan.waits, ordinary, health.excluded_count, all_workers)
--- a/libs/coordinator/tests/load_replay.py
+++ b/libs/coordinator/tests/load_replay.py
@@ -36,6 +36,7 @@
 from hornbeamfold.scheduling import (
     Assignment,
     CandidateWorker,
+    Claim,
     Plan,
     ReadyStep,
     plan,
@@ -148,6 +149,7 @@
         """Run until all jobs have ended."""
         urgent_demand = UrgentDemand()
         placed_runs = PlacedRuns()
+        claims: Sequence[Claim] = ()
         pending = sorted(self._recording.jobs, key=lambda each: each.submitted_ms)
         self._now_ms = pending[0].submitted_ms - EPOCH_MS
         while pending or self._tracker.jobs:
@@ -170,7 +172,9 @@
                 placed_runs.current(self._tracker, self._now_ms),
                 self._now_ms,
                 urgent_demand.headroom(),
+                claims=claims,
             )
+            claims = new_plan.claims
             self._record_idle_beside_room(steps, candidates)
             entitled = {each.job.job_id for each in steps if each.entitled}
             self._carry_out(new_plan, entitled)
--- a/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from hornbeamfold.scheduling.inputs import (
     Assignment,
     CandidateWorker,
+    Claim,
     PlacedRun,
     Plan,
     Preemption,
@@ -18,6 +19,7 @@
 __all__ = [
     "Assignment",
     "CandidateWorker",
+    "Claim",
     "PlacedRun",
     "Plan",
     "Preemption",
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -224,6 +224,10 @@
         """Reserve capacity for a waiting step; only tasks that end before it starts may use it."""
         self._reservations.setdefault(reservation.worker_id, []).append(reservation)
 
+    def remove_reservation(self, reservation: Reservation) -> None:
+        """Remove a reservation that was added before."""
+        self._reservations[reservation.worker_id].remove(reservation)
+
     def available(self, worker_id: str, ends_ms: int) -> Resources:
         """Return the resources of a worker that a task ending at `ends_ms` may use."""
         available = self._free[worker_id]
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -73,6 +73,11 @@
         """The expected duration of a task: the learned one, or else the caller's estimate."""
         return self.step.estimate_ms if self.learned_ms is None else self.learned_ms
 
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """The job, the occurrence and the index of the step."""
+        return self.job.job_id, self.occurrence, self.step_index
+
     def ref(self, index: int) -> TaskRef:
         """Return the reference of the task with this index."""
         return TaskRef(self.occurrence, self.step_index, index)
@@ -134,6 +139,24 @@
     for_job: str
 
 
+@dataclass(frozen=True)
+class Claim:
+    """Room on workers that runs were stopped for, so that the waiting tasks of a step start there.
+
+    `workers` has one entry for each task.
+    """
+
+    job_id: str
+    occurrence: int
+    step_index: int
+    workers: tuple[str, ...]
+
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """The job, the occurrence and the index of the step."""
+        return self.job_id, self.occurrence, self.step_index
+
+
 class WaitReason(StrEnum):
     """Why a ready step waits; the first that applies, in this order."""
 
@@ -169,10 +192,11 @@
     """The decisions of one pass.
 
     `blocked` counts ready steps with tasks that did not fit. `waits` explains the first of those
-    whose job has had no run for a while.
+    whose job has had no run for a while. The next pass gets `claims` back.
     """
 
     assignments: tuple[Assignment, ...] = ()
     preemptions: tuple[Preemption, ...] = ()
     blocked: int = 0
     waits: tuple[Wait, ...] = ()
+    claims: tuple[Claim, ...] = ()
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -5,11 +5,13 @@
 from functools import cached_property
 from math import inf
 
-from hornbeamfold.scheduling.cluster import ClusterCapacity, Reservation, WorkerGroup, pack
+from hornbeamfold.scheduling.claims import ClaimedRoom
+from hornbeamfold.scheduling.cluster import ClusterCapacity, WorkerGroup, pack
 from hornbeamfold.scheduling.idle_jobs import MAX_IDLE_MS, IdleJobPlacement
 from hornbeamfold.scheduling.inputs import (
     Assignment,
     CandidateWorker,
+    Claim,
     PlacedRun,
     Plan,
     Preemption,
@@ -70,14 +72,17 @@
     now_ms: int,
     headroom: Mapping[str, int] = NO_HEADROOM,
     slowdown: Slowdown = no_slowdown,
+    claims: Sequence[Claim] = (),
 ) -> Plan:
     """Return the starts and preemptions to carry out now; times are on the coordinator's clock.
 
     `headroom` is the number of accelerators of each service that non-urgent work leaves free for
     the urgent work that is expected, so that fewer runs have to be preempted for it. `slowdown`
-    returns how many times as long as usual a task of a step takes on a worker.
+    returns how many times as long as usual a task of a step takes on a worker. `claims` are those
+    of the plan before.
     """
     run = _Pass(workers, placed_runs, now_ms, headroom, slowdown)
+    run.claim(claims, steps)
     for step in sorted(steps, key=lambda each: order_key(each, now_ms)):
         run.place(step)
     return run.result()
@@ -105,6 +110,7 @@
         self._waits: list[Wait] = []
         self._reserved_steps = 0
         self._reserved_isolated = False
+        self._claimed = ClaimedRoom(self._cluster, (), (), now_ms)
 
     @cached_property
     def _preemptible_runs(self) -> PreemptibleRuns:
@@ -117,15 +123,26 @@
     def result(self) -> Plan:
         """Return the decisions so far."""
         return Plan(
-            tuple(self._assignments), tuple(self._preemptions), self._blocked, tuple(self._waits)
+            tuple(self._assignments),
+            tuple(self._preemptions),
+            self._blocked,
+            tuple(self._waits),
+            self._claimed.kept,
         )
 
+    def claim(self, claims: Sequence[Claim], steps: Sequence[ReadyStep]) -> None:
+        """Hold the room that runs were stopped for in earlier passes."""
+        self._claimed = ClaimedRoom(self._cluster, claims, steps, self._now_ms)
+
     def place(self, step: ReadyStep) -> None:
         """Place the waiting tasks of a step, or preempt or reserve what they need."""
+        claimed = self._claimed.take(step)
         groups = candidate_groups(self._cluster, step, self._now_ms)
         headroom = self._headroom.get(step.job.service, 0)
         max_tasks = _max_tasks(self._cluster, step, headroom, self._now_ms)
-        chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
+        chosen = self._place_on(step, claimed)
+        if not chosen:
+            chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
         if chosen:
             self._assign(step, chosen, _placement_reason(step))
         elif step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
@@ -139,7 +156,7 @@
             if wait is not None:
                 self._waits.append(wait)
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
-        if self._make_room(unplaced, groups) or chosen:
+        if self._make_room(unplaced, groups, claimed) or chosen:
             return
         self._reserve(step, groups)
 
@@ -155,10 +172,27 @@
         for worker_id in dict.fromkeys(workers):
             self._cluster.allocate_rest(worker_id)
 
-    def _make_room(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
+    def _place_on(self, step: ReadyStep, workers: Sequence[str]) -> list[str]:
+        """Return workers for all waiting tasks among those that the step has claimed, or none."""
+        ends_ms = self._now_ms + step.expected_ms
+        count = len(step.waiting)
+        chosen = pack(
+            self._cluster,
+            step,
+            count,
+            dict.fromkeys(workers),
+            lambda each: self._cluster.available(each, ends_ms),
+        )
+        return chosen if len(chosen) == count else []
+
+    def _make_room(
+        self, step: ReadyStep, groups: Sequence[WorkerGroup], claimed: Sequence[str]
+    ) -> bool:
         """Wait for runs that end soon or preempt others, if the step may; return success."""
         if step.isolated or not (step.entitled or _may_preempt(step, self._now_ms)):
             return False
+        if claimed and self._claimed.renew(step, claimed, self._preemptible_runs):
+            return True
         if self._wait_for_ends(step, groups):
             return True
         max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
@@ -206,10 +240,7 @@
         found = reclaim(self._cluster, step, groups, self._preemptible_runs, max_lost_work)
         if found is None:
             return False
-        for worker_id in found.workers:
-            self._cluster.add_reservation(
-                Reservation(worker_id, step.step.reserved, self._now_ms, firm=True)
-            )
+        self._claimed.add(step, found.workers)
         self._preemptible_runs.mark_stopping(found.victims)
         self._preemptions.extend(
             Preemption(each.name, each.worker_id, step.job.job_id) for each in found.victims
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -83,7 +83,7 @@
     count = len(step.waiting)
     free_by_group: dict[WorkerGroup, dict[str, Resources]] = {}
     for group in groups:
-        free = free_by_group[group] = _free_soon(cluster, step, group, runs)
+        free = free_by_group[group] = free_soon(cluster, cluster.members(step, group), runs)
         chosen = pack(cluster, step, count, free, free.__getitem__)
         if len(chosen) == count:
             return ReclaimPlan(tuple(chosen), (), 0.0)
@@ -95,12 +95,12 @@
     return best
 
 
-def _free_soon(
-    cluster: ClusterCapacity, step: ReadyStep, group: WorkerGroup, runs: PreemptibleRuns
+def free_soon(
+    cluster: ClusterCapacity, workers: Iterable[str], runs: PreemptibleRuns
 ) -> dict[str, Resources]:
-    """Return what is free on each worker of a group once stopping runs have ended."""
+    """Return what is free on each of these workers once stopping runs have ended."""
     free: dict[str, Resources] = {}
-    for worker_id in cluster.members(step, group):
+    for worker_id in workers:
         free[worker_id] = cluster.available(worker_id, FAR_FUTURE_MS)
         stopping = runs.stopping_resources(worker_id)
         if stopping is not None:
