Bound the wait of patient work, and preempt the same work once

Change: a job without a run for 30 s comes next after guaranteed work and keeps the room that it waits for, on the same workers, until it starts. What a task has lost by preemption counts with what the next one would lose, and only guaranteed work stops it a second time. Both are memory of the coordinator; a takeover costs time only.

--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -74,6 +74,7 @@
         placed_runs = self._placed_runs.current(tracker, began)
         new_plan = plan(steps, candidates, placed_runs, began, headroom, claims=self._claims)
         self._claims = new_plan.claims
+        self._placed_runs.record_preemptions(new_plan.preemptions)
         _plan_ms(self._deps.clock() - began)
         ordinary = sum(not each.last_resort for each in candidates)
         self._wait_log.record(new_plan.waits, ordinary, health.excluded_count, all_workers)
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -8,7 +8,7 @@
 from itertools import islice
 from math import inf
 
-from hornbeamfold.batch import Bounds, OperatorState, RunName, Step
+from hornbeamfold.batch import Bounds, OperatorState, RunName, Step, TaskRef
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
@@ -16,7 +16,13 @@
 from hornbeamfold.coordinator.step_progress import StepKey
 from hornbeamfold.coordinator.stragglers import remaining_ms
 from hornbeamfold.coordinator.tracked import MAX_OFFERED_TASKS, StartableStep, TrackedJob
-from hornbeamfold.scheduling import CandidateWorker, PlacedRun, ReadyStep, weighted_cores
+from hornbeamfold.scheduling import (
+    CandidateWorker,
+    PlacedRun,
+    Preemption,
+    ReadyStep,
+    weighted_cores,
+)
 
 # The ready steps that one pass offers, each of which costs time, and those that a job offers before
 # other jobs have their turns.
@@ -219,14 +225,18 @@
 class PlacedRuns:
     """The active runs as the planner sees them, estimated again when there is news of a run.
 
-    Estimates made from the same report differ little, so they are kept for a while.
+    Estimates made from the same report differ little, so they are kept for a while. The work that
+    tasks have lost by preemption is remembered, so that the same work is not lost again.
     """
 
     def __init__(self) -> None:
         self._known: dict[RunName, tuple[Run, int, PlacedRun]] = {}
+        self._lost_before: dict[str, dict[TaskRef, float]] = {}
 
     def current(self, tracker: JobTracker, now_ms: int) -> list[PlacedRun]:
         """Return the runs with estimates of remaining time and of work lost on preemption."""
+        for job_id in [each for each in self._lost_before if each not in tracker.jobs]:
+            del self._lost_before[job_id]
         known: dict[RunName, tuple[Run, int, PlacedRun]] = {}
         for name, run in tracker.runs.items():
             previous = self._known.get(name)
@@ -238,12 +248,22 @@
             ):
                 known[name] = previous
                 continue
-            known[name] = (run, now_ms, _placed_run(run, tracker.jobs.get(name.job_id), now_ms))
+            lost_before = self._lost_before.get(name.job_id, {}).get(name.task, 0.0)
+            placed = _placed_run(run, tracker.jobs.get(name.job_id), now_ms, lost_before)
+            known[name] = (run, now_ms, placed)
         self._known = known
         return [placed for _, _, placed in known.values()]
 
+    def record_preemptions(self, preemptions: Iterable[Preemption]) -> None:
+        """Remember what the preemptions of a pass lose."""
+        for each in preemptions:
+            known = self._known.get(each.name)
+            if known is not None:
+                lost = self._lost_before.setdefault(each.name.job_id, {})
+                lost[each.name.task] = known[2].lost_work
 
-def _placed_run(run: Run, tracked: TrackedJob | None, now_ms: int) -> PlacedRun:
+
+def _placed_run(run: Run, tracked: TrackedJob | None, now_ms: int, lost_before: float) -> PlacedRun:
     if tracked is None:
         # The job has ended, so its runs are being stopped.
         return PlacedRun(
@@ -262,7 +282,8 @@
         # Callers limit how many tasks of such a step may be unavailable, for whatever reason.
         step.long_running and step.max_unavailable > 0,
         max(MIN_REMAINING_MS, int(remaining_ms(run, step, now_ms))),
-        weighted_cores(step.demand) * (1_000 + lost_ms) / 1_000,
+        lost_before + weighted_cores(step.demand) * (1_000 + lost_ms) / 1_000,
         gang,
         bool(run.stop_reason),
+        lost_before > 0,
     )
--- a/libs/coordinator/tests/load_replay.py
+++ b/libs/coordinator/tests/load_replay.py
@@ -175,6 +175,7 @@
                 claims=claims,
             )
             claims = new_plan.claims
+            placed_runs.record_preemptions(new_plan.preemptions)
             self._record_idle_beside_room(steps, candidates)
             entitled = {each.job.job_id for each in steps if each.entitled}
             self._carry_out(new_plan, entitled)
--- a/libs/scheduling/src/hornbeamfold/scheduling/claims.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/claims.py
@@ -1,7 +1,8 @@
-"""Keeps the room that runs were stopped for, from one pass to the next.
+"""Keeps room for a step from one pass to the next.
 
-The runs of several victims end one by one. Without claims, whichever step comes first in the queue
-would start on what is free by then, and the step that the runs were stopped for would stop others.
+Runs that are stopped for a step end one by one. Without claims, whichever step comes first in the
+queue would start on what is free by then, and the step that they were stopped for would stop
+others. A step that has waited for too long gets the room of runs as they end.
 """
 
 from collections.abc import Iterable, Sequence
@@ -46,14 +47,13 @@
             self._cluster.remove_reservation(reservation)
         return tuple(reservation.worker_id for reservation in held)
 
-    def add(self, step: ReadyStep, workers: Sequence[str]) -> None:
+    def add(self, step: ReadyStep, workers: Sequence[str], kept: bool = True) -> None:
         """Reserve room for the waiting tasks of a step on these workers, one for each task.
 
-        Guaranteed work keeps it for the next pass. Other work takes its turn again, as jobs without
-        a run have a right to that room too.
+        If it is not `kept`, the claim holds for the rest of this pass only.
         """
         self._reserve(step, workers)
-        if step.entitled:
+        if kept:
             self._kept.append(Claim(*step.key, tuple(workers)))
 
     def renew(self, step: ReadyStep, workers: Iterable[str], runs: PreemptibleRuns) -> bool:
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -106,7 +106,8 @@
 
     A `protected` run is never preempted. `lost_work` is the work that preemption would discard, in
     core-seconds, where an accelerator counts as 8 cores. `gang` is the job, occurrence and step if
-    the tasks of the step are gang-scheduled. A `stopping` run already has a stop order.
+    the tasks of the step are gang-scheduled. A `stopping` run already has a stop order. Only
+    guaranteed work preempts a `spared` run.
     """
 
     name: RunName
@@ -118,6 +119,7 @@
     lost_work: float
     gang: tuple[str, int, int] | None = None
     stopping: bool = False
+    spared: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -23,7 +23,7 @@
 )
 from hornbeamfold.scheduling.locality import candidate_groups
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
-from hornbeamfold.scheduling.reserve import reserve
+from hornbeamfold.scheduling.reserve import earliest_fit, reserve
 from hornbeamfold.scheduling.waits import explain_wait
 
 # The maximum number of blocked steps with reserved capacity. With one, every large gang further
@@ -41,20 +41,27 @@
 LAST_CHANCE_LOST_WORK_FACTOR = 4.0
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
+# A job that has had no run for this long comes before all work without a guarantee, and keeps the
+# room that it waits for.
+MAX_WAIT_WITHOUT_RUN_MS = 30_000
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
 
 
-def order_key(step: ReadyStep, now_ms: int) -> tuple[bool, bool, int, bool, int, str, int, int]:
+def order_key(
+    step: ReadyStep, now_ms: int
+) -> tuple[bool, bool, bool, int, bool, int, str, int, int]:
     """Return the queue sort key: guaranteed work first, then by priority, then by objective.
 
+    Steps of jobs that have had no run for too long come before other work without a guarantee.
     Steps that can't end in time to be of use come after all that can. Within a priority, steps that
     can't meet their objective come after those that can.
     """
     earliest_end_ms = now_ms + step.expected_ms
     return (
         not step.entitled,
+        not _is_overdue(step, now_ms),
         earliest_end_ms > step.expired_ms,
         step.job.priority,
         earliest_end_ms > step.due_ms,
@@ -88,6 +95,10 @@
     return run.result()
 
 
+def _is_overdue(step: ReadyStep, now_ms: int) -> bool:
+    return step.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS
+
+
 class _Pass:
     """The state of one planning pass."""
 
@@ -158,6 +169,9 @@
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
         if self._make_room(unplaced, groups, claimed) or chosen:
             return
+        if _is_overdue(step, self._now_ms) and not step.isolated:
+            self._keep_room(step, groups, claimed)
+            return
         self._reserve(step, groups)
 
     def _assign(self, step: ReadyStep, workers: Sequence[str], reason: str) -> None:
@@ -210,6 +224,24 @@
         else:
             self._reserved_steps += reserved
 
+    def _keep_room(
+        self, step: ReadyStep, groups: Sequence[WorkerGroup], claimed: Sequence[str]
+    ) -> None:
+        """Claim room for an overdue step, and keep it on the same workers until the step starts.
+
+        Nothing else starts there, so that the step waits for the runs that are there now at most.
+        """
+        if not self._may_reserve(step):
+            return
+        workers = claimed
+        if len(workers) != len(step.waiting):
+            found = earliest_fit(self._cluster, step, groups, self._runs_by_end_time, inf)
+            if found is None:
+                return
+            workers = found[1]
+        self._claimed.add(step, workers)
+        self._reserved_steps += 1
+
     def _may_reserve(self, step: ReadyStep) -> bool:
         """Return whether a blocked step may have a reservation; of isolated steps, one may."""
         if step.isolated:
@@ -240,7 +272,7 @@
         found = reclaim(self._cluster, step, groups, self._preemptible_runs, max_lost_work)
         if found is None:
             return False
-        self._claimed.add(step, found.workers)
+        self._claimed.add(step, found.workers, kept=step.entitled)
         self._preemptible_runs.mark_stopping(found.victims)
         self._preemptions.extend(
             Preemption(each.name, each.worker_id, step.job.job_id) for each in found.victims
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -55,10 +55,12 @@
         """Return what the stopping runs on a worker will free; None if there are none."""
         return self._stopping_resources.get(worker_id)
 
-    def on_worker(self, worker_id: str, priority: int) -> Iterable[PlacedRun]:
-        """Yield the runs that may be preempted for a job of this priority, cheapest first."""
+    def on_worker(self, worker_id: str, step: ReadyStep) -> Iterable[PlacedRun]:
+        """Yield the runs that may be preempted for a step, cheapest first."""
         for run in self._by_worker.get(worker_id, ()):
-            if run.priority > priority and run not in self._victims:
+            if run.spared and not step.entitled:
+                continue
+            if run.priority > step.job.priority and run not in self._victims:
                 yield run
 
     def gang_members(self, run: PlacedRun) -> Iterable[PlacedRun]:
@@ -213,7 +215,7 @@
         accelerators = demand.accelerators - free.accelerators
         if cpu_millis <= 0 and memory_mb <= 0 and accelerators <= 0:
             return added
-        for run in self._runs.on_worker(worker_id, step.job.priority):
+        for run in self._runs.on_worker(worker_id, step):
             if run in self._victims or run in added:
                 continue
             reserved = run.reserved
--- a/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reserve.py
@@ -32,11 +32,7 @@
     """
     if step.isolated and not step.step.gang:
         step = replace(step, waiting=step.waiting[:1])
-    best: tuple[int, list[str]] | None = None
-    for group in groups:
-        found = _earliest_fit(cluster, step, group, by_end_time, max_wait_ms)
-        if found is not None and (best is None or found[0] < best[0]):
-            best = found
+    best = earliest_fit(cluster, step, groups, by_end_time, max_wait_ms)
     if best is None:
         return False
     remaining_ms, chosen = best
@@ -46,7 +42,26 @@
     return True
 
 
-def _earliest_fit(
+def earliest_fit(
+    cluster: ClusterCapacity,
+    step: ReadyStep,
+    groups: Sequence[WorkerGroup],
+    by_end_time: Sequence[PlacedRun],
+    max_wait_ms: float,
+) -> tuple[int, list[str]] | None:
+    """Return the delay in ms until all waiting tasks fit in one of the groups, and their workers.
+
+    Returns None if they fit in no group within `max_wait_ms`.
+    """
+    best: tuple[int, list[str]] | None = None
+    for group in groups:
+        found = _earliest_fit_in(cluster, step, group, by_end_time, max_wait_ms)
+        if found is not None and (best is None or found[0] < best[0]):
+            best = found
+    return best
+
+
+def _earliest_fit_in(
     cluster: ClusterCapacity,
     step: ReadyStep,
     group: WorkerGroup,
