--- a/libs/gateway/src/hornbeamfold/gateway/readiness.py
+++ b/libs/gateway/src/hornbeamfold/gateway/readiness.py
@@ -8,8 +8,13 @@
 MAX_AGE_MS = 2_500
 
 
-def not_ready_reason(draining: bool, followers: Iterable[tuple[str, Follower]]) -> str:
-    """Return why the instance is not ready, or an empty string if it is."""
+def not_ready_reason(
+    draining: bool, followers: Iterable[tuple[str, Follower]], store_suspected_ms: int = 0
+) -> str:
+    """Return why the instance is not ready, or an empty string if it is.
+
+    `store_suspected_ms` is for how long the store has not answered this instance.
+    """
     if draining:
         return "draining"
     for name, follower in followers:
@@ -17,4 +22,6 @@
             return f"{name} has not been read yet"
         if follower.age_ms() > MAX_AGE_MS:
             return f"{name} was confirmed {follower.age_ms():.0f} ms ago"
+    if store_suspected_ms > MAX_AGE_MS:
+        return f"the store has not answered for {store_suspected_ms} ms"
     return ""
--- a/libs/model/src/hornbeamfold/model/errors.py
+++ b/libs/model/src/hornbeamfold/model/errors.py
@@ -188,12 +188,14 @@
     """A tagged outcome: the work was refused or failed.
 
     `ran` overrides the value that the error kind implies, for instance when a cancelled request had
-    already started.
+    already started. `retry_after_s` is after how many seconds the caller is advised to send again;
+    None leaves it to the front end.
     """
 
     kind: ErrorKind
     detail: str
     ran: ExecutionStatus | None = None
+    retry_after_s: int | None = None
 
     @property
     def response(self) -> ErrorResponse:
