--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -20,7 +20,7 @@
 from hornbeamfold.coordinator.run_speeds import RunSpeeds
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.wait_log import WaitLog
-from hornbeamfold.scheduling import Plan, Slowdown, can_start_any, plan, product
+from hornbeamfold.scheduling import Claim, Plan, Slowdown, can_start_any, plan, product
 from hornbeamfold.telemetry import get_logger, histogram
 
 logger = get_logger("hornbeamfold.coordinator.pass_planner")
@@ -49,6 +49,7 @@
         self._placed_runs = PlacedRuns()
         self._rotation = JobRotation()
         self._offers_limited = False
+        self._claims: tuple[Claim, ...] = ()
         self._wait_log = WaitLog(deps.clock)
         self._limit_log = LimitLog(deps.clock)
 
@@ -90,14 +91,24 @@
         version = None if operator.configuration is None else operator.configuration.version
         if not steps:
             self._limit_log.record((), uses, version)
+            self._claims = ()
             return None
         startable = (each for each in steps if can_start_any(each, uses))
         self._urgent_demand.record(startable, began)
         headroom = self._urgent_demand.headroom()
         placed_runs = self._placed_runs.current(tracker, began)
         new_plan = plan(
-            steps, candidates, placed_runs, began, headroom, self._slowdown(), organisations=uses
+            steps,
+            candidates,
+            placed_runs,
+            began,
+            headroom,
+            self._slowdown(),
+            organisations=uses,
+            claims=self._claims,
         )
+        self._claims = new_plan.claims
+        self._placed_runs.record_preemptions(new_plan.preemptions)
         _plan_ms(self._deps.clock() - began)
         self._limit_log.record(new_plan.limited, uses, version)
         ordinary = sum(not each.last_resort for each in candidates)
--- a/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from hornbeamfold.scheduling.inputs import (
     Assignment,
     CandidateWorker,
+    Claim,
     PlacedRun,
     Plan,
     Preemption,
@@ -20,6 +21,7 @@
 __all__ = [
     "Assignment",
     "CandidateWorker",
+    "Claim",
     "OrganisationUse",
     "PlacedRun",
     "Plan",
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -75,6 +75,11 @@
         """The expected duration of a task: the learned one, or else the caller's estimate."""
         return self.step.estimate_ms if self.learned_ms is None else self.learned_ms
 
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """The job, the occurrence and the index of the step."""
+        return self.job.job_id, self.occurrence, self.step_index
+
     def ref(self, index: int) -> TaskRef:
         """Return the reference of the task with this index."""
         return TaskRef(self.occurrence, self.step_index, index)
@@ -103,7 +108,8 @@
 
     A `protected` run is never preempted. `lost_work` is the work that preemption would discard, in
     core-seconds, where an accelerator counts as 8 cores. `gang` is the job, occurrence and step if
-    the tasks of the step are gang-scheduled. A `stopping` run already has a stop order.
+    the tasks of the step are gang-scheduled. A `stopping` run already has a stop order. Only
+    guaranteed work preempts a `spared` run.
     """
 
     name: RunName
@@ -116,6 +122,7 @@
     gang: tuple[str, int, int] | None = None
     stopping: bool = False
     organisation: str = ""
+    spared: bool = False
 
 
 @dataclass(frozen=True)
@@ -137,6 +144,24 @@
     for_job: str
 
 
+@dataclass(frozen=True)
+class Claim:
+    """Room on workers that runs were stopped for, so that the waiting tasks of a step start there.
+
+    `workers` has one entry for each task.
+    """
+
+    job_id: str
+    occurrence: int
+    step_index: int
+    workers: tuple[str, ...]
+
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """The job, the occurrence and the index of the step."""
+        return self.job_id, self.occurrence, self.step_index
+
+
 class WaitReason(StrEnum):
     """Why a ready step waits; the first that applies, in this order."""
 
@@ -174,7 +199,7 @@
 
     `blocked` counts ready steps with tasks that did not fit. `waits` explains the first of those
     whose job has had no run for a while. `limited` are the organisations with steps that wait for
-    their limits.
+    their limits. The next pass gets `claims` back.
     """
 
     assignments: tuple[Assignment, ...] = ()
@@ -182,3 +207,4 @@
     blocked: int = 0
     waits: tuple[Wait, ...] = ()
     limited: frozenset[str] = frozenset()
+    claims: tuple[Claim, ...] = ()
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -6,11 +6,13 @@
 from math import inf
 
 from hornbeamfold.batch import Resources
-from hornbeamfold.scheduling.cluster import ClusterCapacity, Reservation, WorkerGroup, pack
+from hornbeamfold.scheduling.claims import ClaimedRoom
+from hornbeamfold.scheduling.cluster import ClusterCapacity, WorkerGroup, pack
 from hornbeamfold.scheduling.idle_jobs import MAX_IDLE_MS, IdleJobPlacement
 from hornbeamfold.scheduling.inputs import (
     Assignment,
     CandidateWorker,
+    Claim,
     PlacedRun,
     Plan,
     Preemption,
@@ -27,7 +29,7 @@
     OrganisationUse,
 )
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
-from hornbeamfold.scheduling.reserve import reserve
+from hornbeamfold.scheduling.reserve import earliest_fit, reserve
 from hornbeamfold.scheduling.shares import OrganisationShares
 from hornbeamfold.scheduling.waits import explain_limit, explain_wait
 
@@ -46,6 +48,9 @@
 LAST_CHANCE_LOST_WORK_FACTOR = 4.0
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
+# A job that has had no run for this long comes before all work without a guarantee, and keeps the
+# room that it waits for.
+MAX_WAIT_WITHOUT_RUN_MS = 30_000
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
@@ -53,9 +58,10 @@
 
 def order_key(
     step: ReadyStep, now_ms: int
-) -> tuple[bool, bool, int, bool, bool, int, str, int, int]:
+) -> tuple[bool, bool, bool, int, bool, bool, int, str, int, int]:
     """Return the queue sort key: guaranteed work first, then by priority, then by objective.
 
+    Steps of jobs that have had no run for too long come before other work without a guarantee.
     Steps that can't end in time to be of use come after all that can. Within a priority, jobs
     beyond what their organisation is owed come last, and steps that can't meet their objective come
     after those that can.
@@ -63,6 +69,7 @@
     earliest_end_ms = now_ms + step.expected_ms
     return (
         not step.entitled,
+        not _is_overdue(step, now_ms),
         earliest_end_ms > step.expired_ms,
         step.job.priority,
         step.beyond_owed,
@@ -82,22 +89,28 @@
     headroom: Mapping[str, int] = NO_HEADROOM,
     slowdown: Slowdown = no_slowdown,
     organisations: Mapping[str, OrganisationUse] = NO_ORGANISATIONS,
+    claims: Sequence[Claim] = (),
 ) -> Plan:
     """Return the starts and preemptions to carry out now; times are on the coordinator's clock.
 
     `headroom` is the number of accelerators of each service that non-urgent work leaves free for
     the urgent work that is expected, so that fewer runs have to be preempted for it. `slowdown`
     returns how many times as long as usual a task of a step takes on a worker. `organisations` are
-    those with limits or shares.
+    those with limits or shares, and `claims` those of the plan before.
     """
     limits = OrganisationLimits(organisations, placed_runs, now_ms)
     shares = OrganisationShares(organisations, steps, workers, now_ms)
     run = _Pass(workers, placed_runs, now_ms, headroom, slowdown, limits, shares)
+    run.claim(claims, steps)
     for step in shares.in_order(sorted(steps, key=lambda each: order_key(each, now_ms))):
         run.place(step)
     return run.result()
 
 
+def _is_overdue(step: ReadyStep, now_ms: int) -> bool:
+    return step.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS
+
+
 class _Pass:
     """The state of one planning pass."""
 
@@ -124,6 +137,7 @@
         self._waits: list[Wait] = []
         self._reserved_steps = 0
         self._reserved_isolated = False
+        self._claimed = ClaimedRoom(self._cluster, (), (), now_ms)
 
     @cached_property
     def _preemptible_runs(self) -> PreemptibleRuns:
@@ -141,8 +155,13 @@
             self._blocked,
             tuple(self._waits),
             self._limits.limited,
+            self._claimed.kept,
         )
 
+    def claim(self, claims: Sequence[Claim], steps: Sequence[ReadyStep]) -> None:
+        """Hold the room that runs were stopped for in earlier passes."""
+        self._claimed = ClaimedRoom(self._cluster, claims, steps, self._now_ms)
+
     def place(self, step: ReadyStep) -> None:
         """Place the waiting tasks of a step that its organisation's limit has room for."""
         startable = self._limits.startable(step)
@@ -166,10 +185,13 @@
 
     def _place_startable(self, step: ReadyStep) -> None:
         """Place the waiting tasks of a step, or preempt or reserve what they need."""
+        claimed = self._claimed.take(step)
         groups = candidate_groups(self._cluster, step, self._now_ms)
         headroom = self._headroom.get(step.job.service, 0)
         max_tasks = _max_tasks(self._cluster, step, headroom, self._now_ms)
-        chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
+        chosen = self._place_on(step, claimed)
+        if not chosen:
+            chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
         if chosen:
             self._assign(step, chosen, _placement_reason(step))
         elif step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
@@ -181,7 +203,10 @@
         if not chosen and len(self._waits) < MAX_EXPLAINED_WAITS:
             self._explain(explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms))
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
-        if self._make_room(unplaced, groups) or chosen:
+        if self._make_room(unplaced, groups, claimed) or chosen:
+            return
+        if _is_overdue(step, self._now_ms) and not step.isolated:
+            self._keep_room(step, groups, claimed)
             return
         self._reserve(step, groups)
 
@@ -203,10 +228,27 @@
         for worker_id in dict.fromkeys(workers):
             self._cluster.allocate_rest(worker_id)
 
-    def _make_room(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
+    def _place_on(self, step: ReadyStep, workers: Sequence[str]) -> list[str]:
+        """Return workers for all waiting tasks among those that the step has claimed, or none."""
+        ends_ms = self._now_ms + step.expected_ms
+        count = len(step.waiting)
+        chosen = pack(
+            self._cluster,
+            step,
+            count,
+            dict.fromkeys(workers),
+            lambda each: self._cluster.available(each, ends_ms),
+        )
+        return chosen if len(chosen) == count else []
+
+    def _make_room(
+        self, step: ReadyStep, groups: Sequence[WorkerGroup], claimed: Sequence[str]
+    ) -> bool:
         """Wait for runs that end soon or preempt others, if the step may; return success."""
         if step.isolated or not (step.entitled or _may_preempt(step, self._now_ms)):
             return False
+        if claimed and self._claimed.renew(step, claimed, self._preemptible_runs):
+            return True
         if self._wait_for_ends(step, groups):
             return True
         max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
@@ -224,6 +266,24 @@
         else:
             self._reserved_steps += reserved
 
+    def _keep_room(
+        self, step: ReadyStep, groups: Sequence[WorkerGroup], claimed: Sequence[str]
+    ) -> None:
+        """Claim room for an overdue step, and keep it on the same workers until the step starts.
+
+        Nothing else starts there, so that the step waits for the runs that are there now at most.
+        """
+        if not self._may_reserve(step):
+            return
+        workers = claimed
+        if len(workers) != len(step.waiting):
+            found = earliest_fit(self._cluster, step, groups, self._runs_by_end_time, inf)
+            if found is None:
+                return
+            workers = found[1]
+        self._claimed.add(step, workers)
+        self._reserved_steps += 1
+
     def _may_reserve(self, step: ReadyStep) -> bool:
         """Return whether a blocked step may have a reservation; of isolated steps, one may."""
         if step.isolated:
@@ -254,10 +314,7 @@
         found = reclaim(self._cluster, step, groups, self._preemptible_runs, max_lost_work)
         if found is None:
             return False
-        for worker_id in found.workers:
-            self._cluster.add_reservation(
-                Reservation(worker_id, step.step.reserved, self._now_ms, firm=True)
-            )
+        self._claimed.add(step, found.workers, kept=step.entitled)
         self._preempt(step, found.victims)
         return True
 
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -59,10 +59,12 @@
         """Return what the stopping runs on a worker will free; None if there are none."""
         return self._stopping_resources.get(worker_id)
 
-    def on_worker(self, worker_id: str, priority: int) -> Iterable[PlacedRun]:
-        """Yield the runs that may be preempted for a job of this priority, cheapest first."""
+    def on_worker(self, worker_id: str, step: ReadyStep) -> Iterable[PlacedRun]:
+        """Yield the runs that may be preempted for a step, cheapest first."""
         for run in self._by_worker.get(worker_id, ()):
-            if run.priority > priority and run not in self._victims:
+            if run.spared and not step.entitled:
+                continue
+            if run.priority > step.job.priority and run not in self._victims:
                 yield run
 
     def stopping_of(self, organisation: str) -> Resources:
@@ -97,7 +99,7 @@
     count = len(step.waiting)
     free_by_group: dict[WorkerGroup, dict[str, Resources]] = {}
     for group in groups:
-        free = free_by_group[group] = _free_soon(cluster, step, group, runs)
+        free = free_by_group[group] = free_soon(cluster, cluster.members(step, group), runs)
         chosen = pack(cluster, step, count, free, free.__getitem__)
         if len(chosen) == count:
             return ReclaimPlan(tuple(chosen), (), 0.0)
@@ -109,12 +111,12 @@
     return best
 
 
-def _free_soon(
-    cluster: ClusterCapacity, step: ReadyStep, group: WorkerGroup, runs: PreemptibleRuns
+def free_soon(
+    cluster: ClusterCapacity, workers: Iterable[str], runs: PreemptibleRuns
 ) -> dict[str, Resources]:
-    """Return what is free on each worker of a group once stopping runs have ended."""
+    """Return what is free on each of these workers once stopping runs have ended."""
     free: dict[str, Resources] = {}
-    for worker_id in cluster.members(step, group):
+    for worker_id in workers:
         free[worker_id] = cluster.available(worker_id, FAR_FUTURE_MS)
         stopping = runs.stopping_resources(worker_id)
         if stopping is not None:
@@ -227,7 +229,7 @@
         accelerators = demand.accelerators - free.accelerators
         if cpu_millis <= 0 and memory_mb <= 0 and accelerators <= 0:
             return added
-        for run in self._runs.on_worker(worker_id, step.job.priority):
+        for run in self._runs.on_worker(worker_id, step):
             if run in self._victims or run in added:
                 continue
             reserved = run.reserved
