--- a/libs/gateway/tests/test_jobs.py
+++ b/libs/gateway/tests/test_jobs.py
@@ -11,6 +11,7 @@
     JobState,
     NewestPage,
     NotStored,
+    Organisation,
     ReadFailed,
     Records,
     Rejected,
@@ -79,6 +80,48 @@
         self.assertEqual(answer.effective_ran, ExecutionStatus.NOT_RUN)
         self.assertEqual((self.appends, self.now), (0, 0))
 
+    def test_what_can_never_run_within_its_limit_is_refused_at_once(self) -> None:
+        """Guards against a gang that waits for ever, as it needs more than its organisation has."""
+        demand = Resources(1_000, 2_000, 2)
+        cases = [
+            ("a gang", 4, True, Resources(0, 0, 7), True),
+            ("a gang that fits", 4, True, Resources(0, 0, 8), False),
+            ("as many tasks", 4, False, Resources(0, 0, 7), False),
+            ("a task", 1, False, Resources(0, 0, 1), True),
+            ("its memory", 1, False, Resources(0, 1_999, 0), True),
+            ("its processor time", 2, True, Resources(1_999, 0, 0), True),
+            ("no limit", 4, True, Resources(), False),
+        ]
+        for name, count, gang, limit, refused in cases:
+            with self.subTest(name):
+                calls = self.calls([Stored(0)])
+                job = replace(JOB, steps=(Step(1, Resources(1)), Step(count, demand, gang=gang)))
+                answer = calls.submit(job, 3_000, Organisation("o", limit=limit))
+                self.assertEqual(isinstance(answer, Refused), refused)
+                self.assertEqual(self.appends, 0 if refused else 1)
+                if isinstance(answer, Refused):
+                    self.assertEqual(answer.kind, ErrorKind.INFEASIBLE)
+                    self.assertEqual(answer.effective_ran, ExecutionStatus.NOT_RUN)
+                    self.assertFalse(answer.response.retry)
+
+    def test_a_job_that_was_accepted_by_a_higher_limit_is_not_refused(self) -> None:
+        """Guards against an untrue refusal when a call is repeated after the limit was lowered."""
+        calls = self.calls([Stored(0)])
+        high, low = Organisation("o", limit=Resources(10)), Organisation("o", limit=Resources(1))
+        job = replace(JOB, steps=(Step(1, Resources(5)),))
+        calls.submit(job, 3_000, high)
+        self.assertEqual(calls.submit(job, 3_000, low), JobState.PENDING)
+
+    def test_a_job_is_not_refused_for_its_limit_while_the_log_cannot_be_read(self) -> None:
+        """Guards against an untrue refusal of a job that another instance has accepted."""
+        calls = self.calls([Stored(0)], readable=False)
+        answer = calls.submit(JOB, 3_000, Organisation("o", limit=Resources(cpu_millis=1)))
+        self.assertEqual(answer, JobState.PENDING)
+        large = replace(JOB, job_id="b", steps=(Step(1, Resources(5)),))
+        answer = calls.submit(large, 3_000, Organisation("o", limit=Resources(1)))
+        assert isinstance(answer, Refused)
+        self.assertEqual(answer.kind, ErrorKind.LOG_UNAVAILABLE)
+
     def test_a_lost_answer_is_never_reported_as_not_run(self) -> None:
         """Guards against reporting a stored job as refused, whatever the later outcomes."""
         for outcomes in ((UNKNOWN,), (UNKNOWN, REFUSED), (REFUSED, UNKNOWN, REFUSED)):
