Try workers of which nothing is known, where workers are uneven

Urgent gangs took unknown workers as if they were usual. Change: where the workers known are uneven, idle unknown ones get two single tasks of patient work each while half of the service is idle, and count as somewhat slow for all other choices. Where workers are alike, nothing changes. A test keeps the case.

--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -57,7 +57,7 @@
         tracker, health = self._deps.tracker, self._deps.health
         began = self._deps.clock()
         self._deps.speeds.update()
-        candidates = self._deps.speeds.with_last_resorts(
+        candidates = self._deps.speeds.classified(
             candidate_workers(sessions, tracker, health, operator)
         )
         steps = ready_steps(
--- a/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
@@ -14,6 +14,8 @@
 logger = get_logger("hornbeamfold.coordinator.run_speeds")
 _changes = counter("hornbeamfold_worker_speed_changes", "Workers thought to have another speed.")
 
+# Among workers of uneven speed, a gang has a slow member more often than a fast one.
+UNKNOWN_SLOWDOWN = 1.25
 # The changes of one update that are logged one by one.
 MAX_LOGGED_CHANGES = 16
 
@@ -71,28 +73,45 @@
             )
 
     def slowdown(self) -> Slowdown:
-        """Return how many times as long as usual tasks take on each worker, as believed now."""
+        """Return how many times as long as usual tasks take on each worker, as believed now.
+
+        Where workers are uneven, one of which too little is known counts as somewhat slow.
+        """
         slowdowns = self._speeds.slowdowns
         if not slowdowns:
             return no_slowdown
+        if not self._speeds.uneven:
+            return lambda step, worker: slowdowns.get(worker.worker_id, 1.0)
+        known = self._speeds.known
 
         def slowdown(step: ReadyStep, worker: CandidateWorker) -> float:
-            return slowdowns.get(worker.worker_id, 1.0)
+            worker_id = worker.worker_id
+            unknown = 1.0 if worker_id in known else UNKNOWN_SLOWDOWN
+            return slowdowns.get(worker_id, unknown)
 
         return slowdown
 
-    def with_last_resorts(self, candidates: Sequence[CandidateWorker]) -> list[CandidateWorker]:
-        """Return the workers, of which those that are much too slow are last resorts."""
+    def classified(self, candidates: Sequence[CandidateWorker]) -> list[CandidateWorker]:
+        """Return the workers with what their speeds mean for new tasks.
+
+        Those that are much too slow are last resorts. Where workers are uneven, idle ones of which
+        too little is known are to be tried.
+        """
         by_service: dict[str, list[str]] = {}
         for each in candidates:
             by_service.setdefault(each.service, []).append(each.worker_id)
         too_slow: set[str] = set()
         for worker_ids in by_service.values():
             too_slow.update(self._speeds.very_slow(worker_ids))
-        if not too_slow:
+        if not too_slow and not self._speeds.uneven:
             return list(candidates)
+        known = self._speeds.known
         return [
-            replace(each, last_resort=True) if each.worker_id in too_slow else each
+            replace(
+                each,
+                last_resort=each.last_resort or each.worker_id in too_slow,
+                untried=self._speeds.uneven and not each.has_runs and each.worker_id not in known,
+            )
             for each in candidates
         ]
 
--- a/libs/coordinator/tests/load_replay.py
+++ b/libs/coordinator/tests/load_replay.py
@@ -166,7 +166,10 @@
             while pending and pending[0].submitted_ms - EPOCH_MS <= self._now_ms:
                 self._tracker.add(pending.pop(0), JobProgress())
             self._advance()
+            self._learned.update()
             candidates = self._candidates()
+            if self._learning:
+                candidates = self._learned.classified(candidates)
             steps = ready_steps(
                 self._tracker,
                 self._operator,
@@ -176,7 +179,6 @@
                 len(candidates),
             )
             urgent_demand.record(steps, self._now_ms)
-            self._learned.update()
             new_plan = plan(
                 steps,
                 candidates,
@@ -202,6 +204,7 @@
                 frozenset(),
                 self._recording.capacity,
                 self._recording.capacity - self._tracker.reserved_on(worker_id),
+                self._tracker.has_runs_on(worker_id),
             )
             for worker_id, rack in self._racks.items()
         ]
--- a/libs/coordinator/tests/test_run_speeds.py
+++ b/libs/coordinator/tests/test_run_speeds.py
@@ -72,11 +72,25 @@
         self.assertEqual(self.slowdown(learned, "w1"), 1.0)
         last_resorts = [
             each.worker_id
-            for each in learned.with_last_resorts([candidate(f"w{i}") for i in range(WORKERS)])
+            for each in learned.classified([candidate(f"w{i}") for i in range(WORKERS)])
             if each.last_resort
         ]
         self.assertEqual(last_resorts, [SLOW])
 
+    def test_where_workers_are_uneven_unknown_ones_are_tried_and_count_as_slow(self) -> None:
+        speeds = {"w0": 0.5, "w1": 0.5, "w4": 1.5, "w5": 1.5}
+        learned = self.learned(speeds=speeds)
+        self.assertGreater(self.slowdown(learned, "new"), 1.0)
+        self.assertEqual(self.slowdown(learned, "w2"), 1.0)
+        candidates = [candidate("w2"), candidate("new"), replace(candidate("busy"), has_runs=True)]
+        untried = [each.worker_id for each in learned.classified(candidates) if each.untried]
+        self.assertEqual(untried, ["new"])
+
+    def test_where_workers_are_alike_unknown_ones_are_as_well(self) -> None:
+        learned = self.learned()
+        self.assertEqual(self.slowdown(learned, "new"), 1.0)
+        self.assertFalse(any(each.untried for each in learned.classified([candidate("new")])))
+
     def test_workers_that_are_alike_change_no_plan(self) -> None:
         self.assertIs(self.learned(speeds={}).slowdown(), no_slowdown)
 
--- a/libs/estimates/src/hornbeamfold/estimates/worker_speeds.py
+++ b/libs/estimates/src/hornbeamfold/estimates/worker_speeds.py
@@ -1,11 +1,13 @@
 """Keeps what is believed of the speed of each worker."""
 
 from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 from statistics import median
 
 from hornbeamfold.batch import RunName
 from hornbeamfold.estimates.speed import (
+    MIN_WEIGHT,
     UNEVEN_SPREAD,
     USUAL,
     SpeedBelief,
@@ -71,12 +73,24 @@
         self._records: dict[str, _Record] = {}
         self._updated_ms: int | None = None
         self._slowdowns: dict[str, float] = {}
+        self._uneven = False
+        self._known: set[str] = set()
 
     @property
     def slowdowns(self) -> Mapping[str, float]:
         """How many times as long as usual tasks take on the workers of other than usual speed."""
         return self._slowdowns
 
+    @property
+    def uneven(self) -> bool:
+        """Whether the speeds of workers differ by more than chance explains."""
+        return self._uneven
+
+    @property
+    def known(self) -> AbstractSet[str]:
+        """The workers of which enough is known to tell them from those of usual speed."""
+        return self._known
+
     @property
     def beliefs(self) -> Mapping[str, SpeedBelief]:
         """What is believed of each worker that has run something."""
@@ -127,15 +141,21 @@
             return None
         self._updated_ms = now_ms
         surroundings = _surroundings(self._records.values())
+        self._uneven = surroundings.uneven
         changes: list[SpeedChange] = []
         for worker_id, record in tuple(self._records.items()):
             if now_ms - record.samples[-1].at_ms > RETENTION_MS:
                 del self._records[worker_id]
                 self._slowdowns.pop(worker_id, None)
+                self._known.discard(worker_id)
                 continue
             before = record.belief
             after = belief(record.samples, surroundings, before, record.former, now_ms)
             self._records[worker_id] = replace(record, belief=after)
+            if after.weight >= MIN_WEIGHT:
+                self._known.add(worker_id)
+            else:
+                self._known.discard(worker_id)
             if after.level == before.level:
                 continue
             changes.append(SpeedChange(worker_id, before, after))
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -7,10 +7,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from math import inf
 
 from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.inputs import CandidateWorker, ReadyStep, Slowdown, no_slowdown
-from hornbeamfold.scheduling.worker_choice import reluctance
+from hornbeamfold.scheduling.worker_choice import TRIAL_TASKS, may_try, reluctance
 
 # Weight of the accelerator share relative to the CPU and memory shares in the best-fit score.
 # Accelerators are allocated in whole units, so fragmentation wastes them the most.
@@ -18,6 +19,8 @@
 # Later than the start of any reservation, so that reserved capacity is not available.
 FAR_FUTURE_MS = 1 << 62
 NOTHING = Resources()
+# The rank of workers that are taken before all others.
+FIRST = -inf
 
 
 @dataclass(frozen=True)
@@ -306,7 +309,9 @@
     """Return workers for up to `count` tasks of a step, without allocating.
 
     Those that suit the step best by their speed come first, and of equally fast ones the best fit.
+    Before them come some untried ones, if there is ample room.
     """
+    trying = may_try(step) and cluster.is_half_idle(step.job.service)
     ranked: list[tuple[float, float, str, int]] = []
     demand = step.step.reserved
     for worker_id in workers:
@@ -314,9 +319,13 @@
         if not demand.fits(resources):
             continue
         fit = fitting_tasks(step, cluster.worker(worker_id), resources, count)
-        if fit > 0:
-            share = remaining_share(cluster.worker(worker_id), resources)
-            ranked.append((cluster.reluctance(step, worker_id), share, worker_id, fit))
+        worker = cluster.worker(worker_id)
+        tried = min(fit, TRIAL_TASKS) if trying and worker.untried else 0
+        if tried:
+            ranked.append((FIRST, 0.0, worker_id, tried))
+        if fit > tried:
+            share = remaining_share(worker, resources)
+            ranked.append((cluster.reluctance(step, worker_id), share, worker_id, fit - tried))
     ranked.sort()
     chosen: list[str] = []
     for _, _, worker_id, fit in ranked:
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -20,7 +20,8 @@
 class CandidateWorker:
     """A worker that accepts new tasks, with its total and free resources.
 
-    A `last_resort` takes only tasks of jobs that would wait for too long otherwise.
+    A `last_resort` takes only tasks of jobs that would wait for too long otherwise. An `untried`
+    worker is idle, and some single tasks on it would show how fast it is.
     """
 
     worker_id: str
@@ -32,6 +33,7 @@
     free: Resources
     has_runs: bool = False
     last_resort: bool = False
+    untried: bool = False
 
 
 @dataclass(frozen=True)
--- a/libs/scheduling/src/hornbeamfold/scheduling/worker_choice.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/worker_choice.py
@@ -9,6 +9,8 @@
 IN_TIME_FACTOR = 1.5
 # Slowdowns that differ less are equal, so that the best fit decides.
 DIGITS = 2
+# The single tasks that show how fast a worker is.
+TRIAL_TASKS = 2
 
 
 def product(slowdowns: Sequence[Slowdown]) -> Slowdown:
@@ -39,3 +41,10 @@
         return slowdown
     in_time = now_ms + IN_TIME_FACTOR * slowdown * step.expected_ms <= step.due_ms
     return -slowdown if in_time else slowdown
+
+
+def may_try(step: ReadyStep) -> bool:
+    """Return whether the tasks of a step may show how fast workers are, without harm to it."""
+    urgent = step.entitled or step.job.priority == 0
+    kept_together = step.step.gang or step.step.one_rack or step.step.preferred_rack
+    return not (urgent or kept_together or step.isolated or step.step.long_running)
--- a/libs/scheduling/tests/test_worker_choice.py
+++ b/libs/scheduling/tests/test_worker_choice.py
@@ -94,6 +94,33 @@
         result = plan([large, small], [worker], runs, NOW, slowdown=slowdowns({"w1": factor}))
         return [each.worker_id for each in result.assignments if each.job_id == "b"]
 
+    def test_some_single_tasks_try_workers_of_which_nothing_is_known(self) -> None:
+        """Load: workers of uneven speed of which many have run gangs only, which tell little."""
+        workers = [
+            candidate("w1", free=resources(6, 200_000, 60_000)),
+            candidate("w2", untried=True),
+            candidate("w3", untried=True),
+        ]
+        single = Step(5, resources(1), 1_000)
+        cases = [
+            ("single tasks", ready("a", single), ["w1", "w2", "w2", "w3", "w3"]),
+            ("urgent", ready("a", single, priority=0), ["w1"] * 5),
+            ("a gang", ready("a", Step(5, resources(1), 1_000, gang=True)), ["w1"] * 5),
+        ]
+        for name, step, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(chosen(step, workers, {}), expected)
+
+    def test_nothing_is_tried_in_a_full_service(self) -> None:
+        workers = [candidate("w1", free=resources(1)), candidate("w2", untried=True)]
+        workers.append(candidate("w3", free=NOTHING))
+        step = ready("a", Step(1, resources(1), 1_000))
+        self.assertEqual(chosen(step, workers, {}), ["w1"])
+
+    def test_all_room_of_an_untried_worker_is_used_if_there_is_no_other(self) -> None:
+        step = ready("a", Step(8, resources(1), 1_000))
+        self.assertEqual(chosen(step, [candidate("w1", untried=True)], {}), ["w1"] * 8)
+
     def test_a_gang_that_headroom_keeps_back_waits(self) -> None:
         step = ready("a", GANG, due_ms=NOW + 60_000)
         workers = [candidate("w1"), candidate("w2")]
