--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -25,6 +25,11 @@
 
 logger = get_logger("hornbeamfold.coordinator.pass_planner")
 _plan_ms = histogram("hornbeamfold_plan", "ms", "Time of one planning pass.")
+_stranded = histogram(
+    "hornbeamfold_stranded_accelerators",
+    "accelerators",
+    "Free accelerators that no task of the oldest waiting gang can use, by pass.",
+)
 
 
 @dataclass(frozen=True)
@@ -111,6 +116,7 @@
         self._placed_runs.record_preemptions(new_plan.preemptions)
         _plan_ms(self._deps.clock() - began)
         self._limit_log.record(new_plan.limited, uses, version)
+        _stranded(new_plan.stranded_accelerators)
         ordinary = sum(not each.last_resort for each in candidates)
         self._wait_log.record(new_plan.waits, ordinary, health.excluded_count, all_workers)
         return new_plan
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -201,7 +201,9 @@
 
     `blocked` counts ready steps with tasks that did not fit. `waits` explains the first of those
     whose job has had no run for a while. `limited` are the organisations with steps that wait for
-    their limits. The next pass gets `claims` back.
+    their limits. The next pass gets `claims` back. `stranded_accelerators` are those that are free
+    but that no task of the oldest blocked gang could use, for want of other resources on their
+    workers.
     """
 
     assignments: tuple[Assignment, ...] = ()
@@ -210,3 +212,4 @@
     waits: tuple[Wait, ...] = ()
     limited: frozenset[str] = frozenset()
     claims: tuple[Claim, ...] = ()
+    stranded_accelerators: int = 0
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -31,7 +31,7 @@
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import earliest_fit, reserve
 from hornbeamfold.scheduling.shares import OrganisationShares
-from hornbeamfold.scheduling.waits import explain_limit, explain_wait
+from hornbeamfold.scheduling.waits import explain_limit, explain_wait, stranded_accelerators
 
 # The maximum number of blocked steps with reserved capacity. With one, every large gang further
 # back would overtake a large gang near the head of the queue; with many, most of the capacity would
@@ -138,6 +138,7 @@
         self._reserved_steps = 0
         self._reserved_isolated = False
         self._claimed = ClaimedRoom(self._cluster, (), (), now_ms)
+        self._oldest_gang: ReadyStep | None = None
 
     @cached_property
     def _preemptible_runs(self) -> PreemptibleRuns:
@@ -156,6 +157,7 @@
             tuple(self._waits),
             self._limits.limited,
             self._claimed.kept,
+            stranded_accelerators(self._cluster, self._oldest_gang) if self._oldest_gang else 0,
         )
 
     def claim(self, claims: Sequence[Claim], steps: Sequence[ReadyStep]) -> None:
@@ -200,6 +202,9 @@
         if len(chosen) == len(step.waiting):
             return
         self._blocked += 1
+        oldest = self._oldest_gang
+        if step.step.gang and (oldest is None or step.ready_ms < oldest.ready_ms):
+            self._oldest_gang = step
         if not chosen and len(self._waits) < MAX_EXPLAINED_WAITS:
             self._explain(explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms))
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
