--- a/libs/scheduling/tests/test_organisation_limits.py
+++ b/libs/scheduling/tests/test_organisation_limits.py
@@ -6,7 +6,14 @@
 from scheduling_cases import CAPACITY, candidate, job, placed_run, ready, resources
 
 from hornbeamfold.batch import Resources, Step
-from hornbeamfold.scheduling import OrganisationUse, Plan, ReadyStep, WaitReason, plan
+from hornbeamfold.scheduling import (
+    OrganisationUse,
+    Plan,
+    ReadyStep,
+    WaitReason,
+    can_start_any,
+    plan,
+)
 from hornbeamfold.scheduling.idle_jobs import MAX_IDLE_MS
 
 OWN = "sousse-crew"
@@ -107,6 +114,19 @@
                 self.assertEqual(actual, expected)
 
 
+class HeadroomTest(unittest.TestCase):
+    def test_urgent_steps_that_may_not_start_ask_for_no_headroom(self) -> None:
+        """Guards against capacity that is kept free for work that its limit holds back."""
+        gang, tasks = Step(3, ONE, gang=True), Step(3, ONE)
+        cases = [("a gang", gang, 2, False), ("a gang that fits", gang, 3, True)]
+        cases += [("tasks", tasks, 1, True), ("no room", tasks, 0, False)]
+        for name, step, left, expected in cases:
+            with self.subTest(name):
+                organisations = {OWN: use(only(8), only(8 - left))}
+                self.assertEqual(can_start_any(ready("a", step), organisations), expected)
+        self.assertTrue(can_start_any(ready("a", gang), {}))
+
+
 class LimitedOrganisationTest(unittest.TestCase):
     """What waits for its organisation's limit takes nothing from others."""
 
