--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -461,6 +461,7 @@
                     "task": list(preemption.name.task),
                     "worker": preemption.worker_id,
                     "for": preemption.for_job,
+                    "reason": preemption.reason,
                 },
             )
         self._stop_all([each.name for each in new_plan.preemptions], "preempted")
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -130,11 +130,12 @@
 
 @dataclass(frozen=True)
 class Preemption:
-    """A decision to stop a run to free capacity for a job within its organisation's guarantee."""
+    """A decision to stop a run for another job; `reason` is what it frees: room, or a limit."""
 
     name: RunName
     worker_id: str
     for_job: str
+    reason: str = "room"
 
 
 class WaitReason(StrEnum):
--- a/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
@@ -112,6 +112,8 @@
         self._now_ms = now_ms
         self._holds: dict[str, _Hold] = {}
         self._limited: set[str] = set()
+        # What steps wait for that runs are preempted for.
+        self._promised: dict[str, Resources] = {}
 
     @property
     def limited(self) -> frozenset[str]:
@@ -152,17 +154,22 @@
         if hold is not None and self._outlasts(step, hold):
             self._holds[name] = _Hold(hold.start_ms, hold.used + added)
 
-    def hold(self, step: ReadyStep) -> None:
-        """Keep a part of the limit for a step that waits for it, unless another one has it.
+    def hold(self, step: ReadyStep, preempts: bool) -> int | None:
+        """Keep a part of the limit for a step that waits for it; return when it may start.
 
-        Work of the organisation that ends before the step may start can use that part.
+        One step of an organisation has such a part, and others of it that may preempt. Work that
+        ends before the first may start can use it. Returns None if the step does not start then, or
+        never.
         """
         name = step.job.organisation
         self._limited.add(name)
-        if name in self._holds:
-            return
         limit = self._limits[name]
         needed = step.step.demand.times(len(step.waiting) if step.step.gang else 1)
+        first = self._holds.get(name)
+        if first is not None:
+            if preempts:
+                self._holds[name] = _Hold(first.start_ms, first.used + needed)
+            return None
         used = self._used[name] + needed
         start_ms = self._now_ms
         for run in self._runs_by_end_time(name):
@@ -171,8 +178,10 @@
                 break
             used = used - run.reserved
             start_ms = end_ms
-        if within_limit(used, limit):
-            self._holds[name] = _Hold(start_ms, used)
+        if not within_limit(used, limit):
+            return None
+        self._holds[name] = _Hold(start_ms, used)
+        return start_ms
 
     def _runs_by_end_time(self, organisation: str) -> Sequence[PlacedRun]:
         runs = [each for each in self._placed_runs if each.organisation == organisation]
@@ -187,8 +196,9 @@
         lost.
         """
         name = step.job.organisation
-        needed = self._used[name] + step.step.demand.times(len(step.waiting))
-        missing = exceeding(needed - runs.stopping_of(name), self._limits[name])
+        promised = self._promised.get(name, NOTHING) + step.step.demand.times(len(step.waiting))
+        needed = self._used[name] + promised - runs.stopping_of(name)
+        missing = exceeding(needed, self._limits[name])
         victims: dict[PlacedRun, None] = {}
         lost_work = 0.0
         for run in runs.of_organisation(name, step.job.priority):
@@ -202,4 +212,5 @@
                 missing = _above_zero(missing - member.reserved)
         if missing != NOTHING or lost_work > max_lost_work:
             return ()
+        self._promised[name] = promised
         return tuple(victims)
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -157,11 +157,15 @@
 
     def _wait_for_limit(self, step: ReadyStep) -> None:
         """Keep a part of its organisation's limit for a step, and preempt for it, if it may."""
-        if step.entitled or _may_preempt(step, self._now_ms):
-            max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
-            victims = self._limits.runs_to_preempt(step, self._preemptible_runs, max_lost_work)
-            self._preempt(step, victims)
-        self._limits.hold(step)
+        preempts = step.entitled or _may_preempt(step, self._now_ms)
+        start_ms = self._limits.hold(step, preempts)
+        if not preempts:
+            return
+        if start_ms is not None and start_ms <= self._now_ms + _max_wait_ms(step, self._now_ms):
+            return
+        max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
+        victims = self._limits.runs_to_preempt(step, self._preemptible_runs, max_lost_work)
+        self._preempt(step, victims, "limit")
 
     def _place_startable(self, step: ReadyStep) -> None:
         """Place the waiting tasks of a step, or preempt or reserve what they need."""
@@ -231,9 +235,7 @@
 
     def _wait_for_ends(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
         """Reserve what runs will soon free by themselves, instead of preempting; return success."""
-        waited_ms = self._now_ms - step.ready_ms
-        slack_ms = step.due_ms - self._now_ms - step.expected_ms
-        max_wait_ms = min(MAX_WAIT_BEFORE_PREEMPTION_MS - waited_ms, slack_ms)
+        max_wait_ms = _max_wait_ms(step, self._now_ms)
         if max_wait_ms <= 0:
             return False
         return reserve(
@@ -257,13 +259,13 @@
             self._cluster.add_reservation(
                 Reservation(worker_id, step.step.reserved, self._now_ms, firm=True)
             )
-        self._preempt(step, found.victims)
+        self._preempt(step, found.victims, "room")
         return True
 
-    def _preempt(self, step: ReadyStep, victims: Sequence[PlacedRun]) -> None:
+    def _preempt(self, step: ReadyStep, victims: Sequence[PlacedRun], reason: str) -> None:
         self._preemptible_runs.mark_stopping(victims)
         self._preemptions.extend(
-            Preemption(each.name, each.worker_id, step.job.job_id) for each in victims
+            Preemption(each.name, each.worker_id, step.job.job_id, reason) for each in victims
         )
 
 
@@ -274,12 +276,22 @@
 
 
 def _may_preempt(step: ReadyStep, now_ms: int) -> bool:
-    """Return whether an urgent step without a guarantee may preempt: if its end is of use then."""
-    if step.entitled or step.job.priority > 0:
+    """Return whether an urgent step without a guarantee may preempt: if its end is of use then.
+
+    What an organisation sends beyond its rate waits behind what others are owed.
+    """
+    if step.entitled or step.job.priority > 0 or step.beyond_owed:
         return False
     return now_ms + step.expected_ms <= step.expired_ms
 
 
+def _max_wait_ms(step: ReadyStep, now_ms: int) -> int:
+    """Return for how long a step waits for runs to end instead of preempting."""
+    waited_ms = now_ms - step.ready_ms
+    slack_ms = step.due_ms - now_ms - step.expected_ms
+    return min(MAX_WAIT_BEFORE_PREEMPTION_MS - waited_ms, slack_ms)
+
+
 def _max_lost_work(step: ReadyStep, now_ms: int) -> float:
     """Return the work in core-seconds that preemption for the waiting tasks may lose."""
     last_chance = now_ms + LAST_CHANCE_FACTOR * step.expected_ms > step.expired_ms
--- a/libs/scheduling/tests/test_organisation_limits.py
+++ b/libs/scheduling/tests/test_organisation_limits.py
@@ -178,6 +178,38 @@
         result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
         self.assertEqual((result.assignments, result.preemptions), ((), ()))
 
+    def test_runs_that_end_soon_are_waited_for(self) -> None:
+        """Guards against throwing work away that would have ended in time."""
+        urgent = ready("a", Step(1, ONE, 1_000), priority=0, entitled=True)
+        organisations = {OWN: use(only(2), only(2))}
+        for remaining_ms, preempted in ((300, 0), (2_000, 1)):
+            with self.subTest(remaining_ms):
+                runs = [
+                    placed_run("r", index, "w1", ONE, remaining_ms, organisation=OWN)
+                    for index in range(2)
+                ]
+                result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
+                self.assertEqual(len(result.preemptions), preempted)
+
+    def test_several_guaranteed_steps_preempt_at_once(self) -> None:
+        """Guards against guaranteed jobs that wait for one another's preemptions in turn."""
+        runs = [placed_run("r", index, "w1", ONE, organisation=OWN) for index in range(8)]
+        urgent = [
+            ready(job_id, Step(2, ONE, 1_000, gang=True), priority=0, entitled=True)
+            for job_id in ("a", "b", "c")
+        ]
+        patient = ready("d", Step(4, ONE, 60_000))
+        organisations = {OWN: use(only(8), only(8))}
+        result = plan([*urgent, patient], [candidate("w1")], runs, 0, organisations=organisations)
+        self.assertEqual(len(result.preemptions), 6)
+        # As soon as four have ended, two of the three start, and the patient step does not.
+        organisations = {OWN: use(only(8), only(4))}
+        stopping = [replace(each, stopping=index < 2) for index, each in enumerate(runs[4:])]
+        result = plan(
+            [*urgent, patient], [candidate("w1")], stopping, 0, organisations=organisations
+        )
+        self.assertEqual([started(result, each) for each in "abcd"], [2, 2, 0, 0])
+
     def test_patient_work_preempts_nothing_at_its_limit(self) -> None:
         runs = [placed_run("r", 0, "w1", ONE, organisation=OWN, priority=2)]
         organisations = {OWN: use(only(1), only(1))}
--- a/libs/scheduling/tests/test_shares.py
+++ b/libs/scheduling/tests/test_shares.py
@@ -51,6 +51,16 @@
         owed = of(SMALL, ready("b", Step(1, ONE), priority=0))
         self.assertEqual(self.first(beyond, owed), "a")
 
+    def test_urgent_work_beyond_it_preempts_nothing(self) -> None:
+        """Guards against a flood of urgent work that throws away what others are owed."""
+        runs = [placed_run("r", 0, "w1", ONE, organisation=SMALL, lost_work=1.0)]
+        workers = [candidate("w1", free=resources(0))]
+        urgent = of(LARGE, ready("a", Step(1, ONE, 10_000), priority=0))
+        for beyond, preempted in ((False, 1), (True, 0)):
+            with self.subTest(beyond):
+                step = replace(urgent, beyond_owed=beyond)
+                self.assertEqual(len(plan([step], workers, runs, 0).preemptions), preempted)
+
     def test_it_is_served_while_there_is_room(self) -> None:
         beyond = of(LARGE, ready("a", Step(4, ONE)), beyond_owed=True)
         self.assertEqual(len(plan([beyond], [candidate("w1")], [], 0).assignments), 4)
