--- a/libs/scheduling/tests/test_organisation_limits.py
+++ b/libs/scheduling/tests/test_organisation_limits.py
@@ -6,7 +6,14 @@
 from scheduling_cases import CAPACITY, candidate, job, placed_run, ready, resources
 
 from hornbeamfold.batch import Resources, Step
-from hornbeamfold.scheduling import OrganisationUse, Plan, ReadyStep, WaitReason, plan
+from hornbeamfold.scheduling import (
+    OrganisationUse,
+    Plan,
+    ReadyStep,
+    WaitReason,
+    can_start_any,
+    plan,
+)
 from hornbeamfold.scheduling.idle_jobs import MAX_IDLE_MS
 
 OWN = "sousse-crew"
@@ -107,6 +114,19 @@
                 self.assertEqual(actual, expected)
 
 
+class HeadroomTest(unittest.TestCase):
+    def test_urgent_steps_that_may_not_start_ask_for_no_headroom(self) -> None:
+        """Guards against capacity that is kept free for work that its limit holds back."""
+        gang, tasks = Step(3, ONE, gang=True), Step(3, ONE)
+        cases = [("a gang", gang, 2, False), ("a gang that fits", gang, 3, True)]
+        cases += [("tasks", tasks, 1, True), ("no room", tasks, 0, False)]
+        for name, step, left, expected in cases:
+            with self.subTest(name):
+                organisations = {OWN: use(only(8), only(8 - left))}
+                self.assertEqual(can_start_any(ready("a", step), organisations), expected)
+        self.assertTrue(can_start_any(ready("a", gang), {}))
+
+
 class LimitedOrganisationTest(unittest.TestCase):
     """What waits for its organisation's limit takes nothing from others."""
 
@@ -158,6 +178,38 @@
         result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
         self.assertEqual((result.assignments, result.preemptions), ((), ()))
 
+    def test_runs_that_end_soon_are_waited_for(self) -> None:
+        """Guards against throwing work away that would have ended in time."""
+        urgent = ready("a", Step(1, ONE, 1_000), priority=0, entitled=True)
+        organisations = {OWN: use(only(2), only(2))}
+        for remaining_ms, preempted in ((300, 0), (2_000, 1)):
+            with self.subTest(remaining_ms):
+                runs = [
+                    placed_run("r", index, "w1", ONE, remaining_ms, organisation=OWN)
+                    for index in range(2)
+                ]
+                result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
+                self.assertEqual(len(result.preemptions), preempted)
+
+    def test_several_guaranteed_steps_preempt_at_once(self) -> None:
+        """Guards against guaranteed jobs that wait for one another's preemptions in turn."""
+        runs = [placed_run("r", index, "w1", ONE, organisation=OWN) for index in range(8)]
+        urgent = [
+            ready(job_id, Step(2, ONE, 1_000, gang=True), priority=0, entitled=True)
+            for job_id in ("a", "b", "c")
+        ]
+        patient = ready("d", Step(4, ONE, 60_000))
+        organisations = {OWN: use(only(8), only(8))}
+        result = plan([*urgent, patient], [candidate("w1")], runs, 0, organisations=organisations)
+        self.assertEqual(len(result.preemptions), 6)
+        # As soon as four have ended, two of the three start, and the patient step does not.
+        organisations = {OWN: use(only(8), only(4))}
+        stopping = [replace(each, stopping=index < 2) for index, each in enumerate(runs[4:])]
+        result = plan(
+            [*urgent, patient], [candidate("w1")], stopping, 0, organisations=organisations
+        )
+        self.assertEqual([started(result, each) for each in "abcd"], [2, 2, 0, 0])
+
     def test_patient_work_preempts_nothing_at_its_limit(self) -> None:
         runs = [placed_run("r", 0, "w1", ONE, organisation=OWN, priority=2)]
         organisations = {OWN: use(only(1), only(1))}
