--- a/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from math import log
 
-from hornbeamfold.batch import Clock, RunningTask, Worker
+from hornbeamfold.batch import Clock, RunningTask, Step, Worker
 from hornbeamfold.coordinator.job_tracker import JobTracker
 from hornbeamfold.coordinator.stragglers import is_comparable
 from hornbeamfold.estimates import ProgressRates, SiblingDurations, SpeedChange, WorkerSpeeds
@@ -41,8 +41,7 @@
             tracked = self._tracker.jobs.get(task.name.job_id)
             if run is None or tracked is None or run.worker_id != worker_id or run.stop_reason:
                 continue
-            step = tracked.job.steps[task.name.task.step]
-            if step.long_running or step.best_effort or not is_comparable(step):
+            if not _tells_speed(tracked.job.steps[task.name.task.step]):
                 continue
             duration_ms = self._rates.duration_ms(task, now)
             if duration_ms is None:
@@ -94,8 +93,8 @@
     def classified(self, candidates: Sequence[CandidateWorker]) -> list[CandidateWorker]:
         """Return the workers with what their speeds mean for new tasks.
 
-        Those that are much too slow are last resorts. Where workers are uneven, idle ones of which
-        too little is known are to be tried.
+        Those that are much too slow are last resorts. Where workers are uneven, those of which too
+        little is known are to be tried.
         """
         by_service: dict[str, list[str]] = {}
         for each in candidates:
@@ -105,16 +104,30 @@
             too_slow.update(self._speeds.very_slow(worker_ids))
         if not too_slow and not self._speeds.uneven:
             return list(candidates)
-        known = self._speeds.known
         return [
             replace(
                 each,
                 last_resort=each.last_resort or each.worker_id in too_slow,
-                untried=self._speeds.uneven and not each.has_runs and each.worker_id not in known,
+                untried=self._speeds.uneven and self._is_untried(each.worker_id),
             )
             for each in candidates
         ]
 
+    def _is_untried(self, worker_id: str) -> bool:
+        """Return whether a worker is unknown and has no run that would tell how fast it is."""
+        if worker_id in self._speeds.known:
+            return False
+        for run in self._tracker.runs_on(worker_id):
+            tracked = self._tracker.jobs.get(run.name.job_id)
+            if tracked is not None and _tells_speed(tracked.job.steps[run.name.task.step]):
+                return False
+        return True
+
+
+def _tells_speed(step: Step) -> bool:
+    """Return whether only the speed of a worker makes a task slower than its siblings elsewhere."""
+    return is_comparable(step) and not (step.long_running or step.best_effort)
+
 
 def _direction(change: SpeedChange) -> str:
     if change.after.level == 0:
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -20,8 +20,8 @@
 class CandidateWorker:
     """A worker that accepts new tasks, with its total and free resources.
 
-    A `last_resort` takes only tasks of jobs that would wait for too long otherwise. An `untried`
-    worker is idle, and some single tasks on it would show how fast it is.
+    A `last_resort` takes only tasks of jobs that would wait for too long otherwise. Some
+    single tasks on an `untried` worker would show how fast it is.
     """
 
     worker_id: str
