--- a/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_intake.py
@@ -34,6 +34,7 @@
     on_state: Callable[[str, JobState], None]  # a state that must be published
     on_runs_cancelled: Callable[[tuple[RunName, ...]], None]  # runs that must be stopped
     on_change: Callable[[], None]
+    on_speeds: Callable[[Mapping[str, int]], None]  # the recorded levels of speed by worker id
 
 
 class JobIntake:
@@ -82,10 +83,12 @@
         while self._hooks.is_active():
             loaded = load_progress(topic)
             if not isinstance(loaded, ReadFailed):
-                self._recorded_progress = loaded
+                self._recorded_progress = loaded.by_job
                 self._unread_runs = {
-                    job_id: _active_runs(job_id, progress) for job_id, progress in loaded.items()
+                    job_id: _active_runs(job_id, progress)
+                    for job_id, progress in loaded.by_job.items()
                 }
+                self._hooks.on_speeds(loaded.speed_levels)
                 return self._hooks.is_active()
             logger.warning("progress_unreadable", extra={"reason": loaded.reason})
             eventlet.sleep(LOAD_RETRY_MS / 1_000)
--- a/libs/coordinator/src/hornbeamfold/coordinator/journal.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/journal.py
@@ -1,6 +1,6 @@
 """Records the progress of jobs and runs callbacks once their changes are stored."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
 from eventlet.event import Event
@@ -29,8 +29,10 @@
         tracker: JobTracker,
         on_state: Callable[[str, JobState], None],
         max_record_bytes: int,
+        beliefs: Callable[[], Sequence[KeyedRecord]] = tuple,
     ) -> None:
         self._writer = writer
+        self._beliefs = beliefs
         self._tracker = tracker
         self._on_state = on_state
         self._max_record_bytes = max_record_bytes
@@ -81,6 +83,11 @@
                 records.append(self._encode(job_id, state, tasks, part))
         tombstones, self._tombstones = self._tombstones, []
         records.extend(tombstones)
+        if records:
+            # What is believed costs no call of its own.
+            records.extend(
+                each for each in self._beliefs() if stored_bytes(each) <= self._max_record_bytes
+            )
         if records and not self._writer.write(records):
             return False
         for callback in callbacks:
--- a/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
@@ -1,13 +1,14 @@
 """Learns from the reports of workers how fast they are."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from math import log
 
-from hornbeamfold.batch import Clock, RunningTask, Step, Worker
+from hornbeamfold.batch import Clock, KeyedRecord, RunningTask, Step, Worker
 from hornbeamfold.coordinator.job_tracker import JobTracker
 from hornbeamfold.coordinator.stragglers import is_comparable
 from hornbeamfold.estimates import ProgressRates, SiblingDurations, SpeedChange, WorkerSpeeds
+from hornbeamfold.ledger import encode_speeds
 from hornbeamfold.scheduling import CandidateWorker, ReadyStep, Slowdown, no_slowdown
 from hornbeamfold.telemetry import counter, get_logger
 
@@ -16,6 +17,9 @@
 
 # Among workers of uneven speed, a gang has a slow member more often than a fast one.
 UNKNOWN_SLOWDOWN = 1.25
+# What is believed is recorded at most this often, and of so many workers.
+RECORD_MS = 5_000
+MAX_RECORDED = 2_000
 # The changes of one update that are logged one by one.
 MAX_LOGGED_CHANGES = 16
 
@@ -29,6 +33,24 @@
         self._rates = ProgressRates()
         self._siblings = SiblingDurations()
         self._speeds = WorkerSpeeds()
+        self._recorded: Mapping[str, int] = {}
+        self._recorded_ms = clock()
+
+    def restore(self, levels: Mapping[str, int]) -> None:
+        """Begin with what an earlier coordinator believed; it fades unless new runs confirm it."""
+        self._speeds.restore(levels, self._clock())
+        self._recorded = levels
+
+    def changed_records(self) -> Sequence[KeyedRecord]:
+        """Return the record of what is believed, if it has changed and the last one is old."""
+        now = self._clock()
+        if now - self._recorded_ms < RECORD_MS:
+            return ()
+        levels = self._speeds.levels(MAX_RECORDED)
+        if levels == self._recorded:
+            return ()
+        self._recorded, self._recorded_ms = levels, now
+        return (encode_speeds(levels),)
 
     def observe(self, worker: Worker, running: Sequence[RunningTask]) -> None:
         """Take in the progress that a worker reports."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -132,6 +132,7 @@
             self._tracker,
             self._announce,
             deps.progress_topic.limits.record_bytes,
+            self._speeds.changed_records,
         )
         self._announcer = Announcer(
             FencedWriter("jobs", deps.topic, epoch, sequence, self.step_down, deps.clock),
@@ -148,6 +149,7 @@
                 on_state=self._announcer.announce,
                 on_runs_cancelled=self._on_runs_cancelled,
                 on_change=self._notify,
+                on_speeds=self._speeds.restore,
             ),
         )
         self._starter = RunStarter(
--- a/libs/coordinator/tests/backlog.py
+++ b/libs/coordinator/tests/backlog.py
@@ -183,7 +183,7 @@
     began = time.process_time()
     loaded = load_progress(topic_with(records))
     for job in jobs:
-        again.add(job, loaded.pop(job.job_id))
+        again.add(job, loaded.by_job.pop(job.job_id))
     read_ms = (time.process_time() - began) * 1_000
     read_mb = _memory_mb() - before_mb
     return (
--- a/libs/coordinator/tests/test_backlog.py
+++ b/libs/coordinator/tests/test_backlog.py
@@ -38,7 +38,7 @@
     STEPS_PER_TURN,
     ready_steps,
 )
-from hornbeamfold.ledger import load_progress
+from hornbeamfold.ledger import LoadedProgress, load_progress
 from hornbeamfold.scheduling import ReadyStep, plan
 
 # Urgent work starts within this time.
@@ -108,8 +108,8 @@
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
         progress = load_progress(topic_with(records))
-        assert isinstance(progress, dict)
-        self.tracker.add(largest, progress.pop(largest.job_id))
+        assert isinstance(progress, LoadedProgress)
+        self.tracker.add(largest, progress.by_job.pop(largest.job_id))
         (step,) = self.offered()
         self.assertEqual(step.ref(0), TaskRef(199_999, 0, 0))
         self.assertLess(tracemalloc.get_traced_memory()[1], MAX_JOB_MEMORY_BYTES)
--- a/libs/coordinator/tests/test_journal.py
+++ b/libs/coordinator/tests/test_journal.py
@@ -42,11 +42,13 @@
         self.journal.stop()
         return Stored(0)
 
-    def flush(self) -> dict[str, KeyedRecord]:
+    def flush(self, beliefs: Sequence[KeyedRecord] = ()) -> dict[str, KeyedRecord]:
         """Write all changes; return the records that were written, by key."""
         topic = TopicPort(self.append, lambda *_: ReadFailed(""), lambda _: ReadFailed(""), LIMITS)
         writer = FencedWriter("progress", topic, 1, 0, self.fail, self.clock)
-        self.journal = Journal(writer, self.tracker, lambda *_: None, LIMITS.record_bytes)
+        self.journal = Journal(
+            writer, self.tracker, lambda *_: None, LIMITS.record_bytes, lambda: beliefs
+        )
         self.written.clear()
         self.journal.run()
         return {each.key: each for each in self.written}
@@ -56,6 +58,15 @@
         for index in indexes:
             self.tracker.begin_runs("a", [TaskRef(0, 0, index)], [worker()])
 
+    def test_beliefs_are_written_beside_changes(self) -> None:
+        """What is only believed costs no append of its own, and never keeps progress back."""
+        self.begin(0)
+        small = KeyedRecord("belief", b"{}")
+        large = KeyedRecord("belief", b"x" * LIMITS.record_bytes)
+        self.assertEqual(set(self.flush([small])), {"progress/a", "belief"})
+        self.begin(1)
+        self.assertEqual(set(self.flush([large])), {"progress/a"})
+
     def test_a_change_costs_the_record_of_its_part(self) -> None:
         """Guards against records that grow with the job, as in review/4."""
         self.begin(0, 5, 600)
--- a/libs/coordinator/tests/test_run_speeds.py
+++ b/libs/coordinator/tests/test_run_speeds.py
@@ -17,7 +17,8 @@
     TaskRef,
     Worker,
 )
-from hornbeamfold.coordinator.run_speeds import RunSpeeds
+from hornbeamfold.coordinator.run_speeds import RECORD_MS, RunSpeeds
+from hornbeamfold.ledger.codec import decode_speeds
 from hornbeamfold.scheduling import CandidateWorker, ReadyStep, no_slowdown
 
 WORKERS = 6
@@ -131,12 +132,40 @@
                 learned = self.learned(step, slow_worker=changes)
                 self.assertEqual(self.slowdown(learned), 1.0)
 
-    def test_a_takeover_begins_with_workers_of_usual_speed(self) -> None:
-        """What is learned is lost in a takeover, and learned again within seconds."""
+    def test_a_takeover_begins_with_what_was_recorded(self) -> None:
+        """Load: coordinators are killed while workers are uneven; plans go on as before."""
+        speeds = {"w0": 0.5, "w1": 0.5, "w4": 1.5, "w5": 1.5}
+        learned = self.learned(speeds=speeds)
+        self.clock.move(RECORD_MS)
+        (record,) = learned.changed_records()
+        self.assertEqual(learned.changed_records(), ())
+        successor = RunSpeeds(tracker_with(self.clock), self.clock)
+        successor.restore(decode_speeds(record.value))
+        successor.update()
+        for worker_id in ("w0", "w2", "w4", "new"):
+            expected = self.slowdown(learned, worker_id)
+            self.assertAlmostEqual(self.slowdown(successor, worker_id), expected, delta=0.3)
+        self.clock.move(600_000)
+        successor.update()
+        self.assertEqual(self.slowdown(successor, "w0"), 1.0)
+
+    def test_a_takeover_without_a_record_learns_anew(self) -> None:
         tracker = tracker_with(self.clock)
         self.assertIs(RunSpeeds(tracker, self.clock).slowdown(), no_slowdown)
         self.assertGreater(self.slowdown(self.learned()), 3)
 
+    def test_odd_recorded_levels_do_no_harm(self) -> None:
+        learned = RunSpeeds(tracker_with(self.clock), self.clock)
+        learned.restore({"w0": -(10**9), "w1": 10**9})
+        learned.update()
+        self.assertLess(self.slowdown(learned, "w0"), 100)
+        self.assertGreater(self.slowdown(learned, "w1"), 0.01)
+
+    def test_nothing_is_recorded_of_workers_that_are_alike(self) -> None:
+        learned = self.learned(speeds={})
+        self.clock.move(RECORD_MS)
+        self.assertEqual(learned.changed_records(), ())
+
     def test_reports_of_runs_that_are_not_known_are_ignored(self) -> None:
         learned = RunSpeeds(tracker_with(self.clock), self.clock)
         each: Worker = worker()
--- a/libs/estimates/src/hornbeamfold/estimates/worker_speeds.py
+++ b/libs/estimates/src/hornbeamfold/estimates/worker_speeds.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable, Mapping, Sequence
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
+from itertools import islice
+from math import log
 from statistics import median
 
-from hornbeamfold.batch import RunName
+from hornbeamfold.batch import RunName, TaskRef
 from hornbeamfold.estimates.speed import (
     MIN_WEIGHT,
     UNEVEN_SPREAD,
@@ -35,6 +37,12 @@
 MIN_WORKERS = 5
 # The standard deviation of a normal distribution relative to its median absolute deviation.
 DEVIATION_RATIO = 1.48
+# What an earlier coordinator believed counts like this number of runs.
+RESTORED_SAMPLES = 4
+RESTORED_INCARNATION = 0
+MAX_LEVEL = 12
+# Workers are taken for uneven if an earlier coordinator thought more than this share unusual.
+MIN_UNEVEN_SHARE = 0.3
 # Workers without news for this long are forgotten.
 RETENTION_MS = 600_000
 # A worker this many times as slow as usual gets tasks only as a last resort, unless it is one of
@@ -96,6 +104,28 @@
         """What is believed of each worker that has run something."""
         return {worker_id: record.belief for worker_id, record in self._records.items()}
 
+    def levels(self, limit: int) -> Mapping[str, int]:
+        """Return the levels of the known workers, at most so many, or none if all are usual."""
+        if not self._slowdowns:
+            return {}
+        return {
+            worker_id: self._records[worker_id].belief.level
+            for worker_id in islice(sorted(self._known), limit)
+        }
+
+    def restore(self, levels: Mapping[str, int], now_ms: int) -> None:
+        """Take over what was believed; it counts like some runs that have just ended."""
+        for worker_id, level in levels.items():
+            level = min(MAX_LEVEL, max(-MAX_LEVEL, level))
+            log_speed = log(speed_of_level(level))
+            samples = tuple(
+                SpeedSample(RunName("", TaskRef(0, 0, index), 0), log_speed, now_ms)
+                for index in range(RESTORED_SAMPLES)
+            )
+            self._records[worker_id] = _Record(RESTORED_INCARNATION, samples)
+        unusual = sum(level != 0 for level in levels.values())
+        self._uneven = unusual > MIN_UNEVEN_SHARE * len(levels)
+
     def log_speed(self, worker_id: str) -> float:
         """Return the logarithm of the believed speed of a worker."""
         record = self._records.get(worker_id)
@@ -133,6 +163,8 @@
             return _Record(incarnation)
         if record.incarnation == incarnation:
             return record
+        if record.incarnation == RESTORED_INCARNATION:
+            return replace(record, incarnation=incarnation)
         return _Record(incarnation, (), record.belief, record.belief)
 
     def update(self, now_ms: int) -> Sequence[SpeedChange] | None:
@@ -140,7 +172,7 @@
         if self._updated_ms is not None and now_ms - self._updated_ms < UPDATE_MS:
             return None
         self._updated_ms = now_ms
-        surroundings = _surroundings(self._records.values())
+        surroundings = _surroundings(self._records.values(), self._uneven)
         self._uneven = surroundings.uneven
         changes: list[SpeedChange] = []
         for worker_id, record in tuple(self._records.items()):
@@ -165,15 +197,16 @@
         return changes
 
 
-def _surroundings(records: Iterable[_Record]) -> Surroundings:
+def _surroundings(records: Iterable[_Record], was_uneven: bool) -> Surroundings:
     """Return what the samples of the workers of which enough is known show of all of them."""
     by_worker = [
-        [sample.log_speed for sample in record.samples]
+        observed
         for record in records
-        if len(record.samples) >= MIN_SAMPLES
+        if len(observed := [each.log_speed for each in record.samples if each.run.job_id])
+        >= MIN_SAMPLES
     ]
     if len(by_worker) < MIN_WORKERS:
-        return Surroundings()
+        return Surroundings(uneven=was_uneven)
     middles = [median(each) for each in by_worker]
     usual = _midmean(middles)
     residuals = [
--- a/libs/ledger/src/hornbeamfold/ledger/codec.py
+++ b/libs/ledger/src/hornbeamfold/ledger/codec.py
@@ -31,6 +31,7 @@
 STATE_PREFIX = "state/"
 PROGRESS_PREFIX = "progress/"
 COORDINATOR_KEY = "coordinator"
+SPEEDS_KEY = "worker-speeds"
 _PART = re.compile(r"[1-9][0-9]{0,5}")
 
 
@@ -43,6 +44,13 @@
     resigned: bool = False
 
 
+@dataclass(frozen=True)
+class _Speeds:
+    """The JSON document of the speeds of workers: a level for each worker id."""
+
+    levels: dict[str, int]
+
+
 @dataclass(frozen=True)
 class _Progress:
     """The JSON document of a progress record: one row for each task of a part that was started.
@@ -114,6 +122,16 @@
     return decode_json(value, _State).state
 
 
+def encode_speeds(levels: Mapping[str, int]) -> KeyedRecord:
+    """Return the record of what a coordinator believes of the speeds of workers, as levels."""
+    return KeyedRecord(SPEEDS_KEY, msgspec.json.encode(_Speeds(dict(levels))))
+
+
+def decode_speeds(value: bytes) -> Mapping[str, int]:
+    """Return the level of each worker; raises DecodeError if the value is malformed."""
+    return decode_json(value, _Speeds).levels
+
+
 def encode_progress_tombstones(job_id: str, parts: int) -> list[KeyedRecord]:
     """Return the tombstones that remove the progress of a job with this number of parts."""
     return [KeyedRecord(_progress_key(job_id, part), b"") for part in range(parts)]
--- a/libs/ledger/src/hornbeamfold/ledger/progress.py
+++ b/libs/ledger/src/hornbeamfold/ledger/progress.py
@@ -1,6 +1,7 @@
 """Loads the progress of all jobs from the topic that only the coordinator writes."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from hornbeamfold.batch import (
     JobProgress,
@@ -12,12 +13,25 @@
     TopicPort,
 )
 from hornbeamfold.decoding import DecodeError
-from hornbeamfold.ledger.codec import decode_progress, parse_progress_key
+from hornbeamfold.ledger.codec import (
+    SPEEDS_KEY,
+    decode_progress,
+    decode_speeds,
+    parse_progress_key,
+)
 from hornbeamfold.telemetry import get_logger
 
 logger = get_logger("hornbeamfold.ledger.progress")
 
 
+@dataclass(frozen=True)
+class LoadedProgress:
+    """The recorded progress by job id, and the recorded levels of speed by worker id."""
+
+    by_job: dict[str, JobProgress]
+    speed_levels: Mapping[str, int]
+
+
 class _ProgressParts:
     """The parts of the progress of a job that have been read so far."""
 
@@ -46,24 +60,37 @@
             self._tasks.setdefault(ref, task)
 
 
-def load_progress(topic: TopicPort) -> dict[str, JobProgress] | ReadFailed:
-    """Return the recorded progress by job id.
+def load_progress(topic: TopicPort) -> LoadedProgress | ReadFailed:
+    """Return the recorded progress.
 
     The pages are not one consistent snapshot, so there must be no writes while they are read.
     """
     found: dict[str, _ProgressParts] = {}
+    levels: Mapping[str, int] = {}
     after = ""
     while True:
         page = topic.newest(after)
         if isinstance(page, ReadFailed):
             return page
         for record in page.records:
+            if record.key == SPEEDS_KEY:
+                levels = _speed_levels(record)
             _add_part(found, record)
         if not page.has_more:
-            return {job_id: parts.progress for job_id, parts in found.items()}
+            by_job = {job_id: parts.progress for job_id, parts in found.items()}
+            return LoadedProgress(by_job, levels)
         after = page.records[-1].key
 
 
+def _speed_levels(record: KeyedRecord) -> Mapping[str, int]:
+    """Return the recorded levels of speed; none if the record is malformed."""
+    try:
+        return decode_speeds(record.value)
+    except DecodeError as error:
+        logger.error("record_unreadable", extra={"key": record.key, "error": str(error)})
+        return {}
+
+
 def _add_part(found: dict[str, _ProgressParts], record: KeyedRecord) -> None:
     """Add the tasks of a progress record to those of its job."""
     key = parse_progress_key(record.key)
--- a/libs/ledger/tests/test_parts.py
+++ b/libs/ledger/tests/test_parts.py
@@ -19,8 +19,10 @@
     stored_bytes,
 )
 from hornbeamfold.ledger import (
+    LoadedProgress,
     encode_progress,
     encode_progress_tombstones,
+    encode_speeds,
     load_progress,
     parse_progress_key,
     task_parts,
@@ -76,7 +78,11 @@
 
 class LoadTest(unittest.TestCase):
     def load(self, records: Sequence[KeyedRecord]) -> dict:
-        """Return the progress in these records, which the store lists one by one."""
+        """Return the progress in these records."""
+        return self.load_all(records).by_job
+
+    def load_all(self, records: Sequence[KeyedRecord]) -> LoadedProgress:
+        """Return all that is in these records, which the store lists one by one."""
 
         def newest(after: str) -> NewestPage:
             index = next((i + 1 for i, each in enumerate(records) if each.key == after), 0)
@@ -88,6 +94,22 @@
         assert not isinstance(loaded, ReadFailed)
         return loaded
 
+    def test_the_speeds_of_workers_are_read_beside_the_progress(self) -> None:
+        records = [
+            encode_progress("a", JobState.RUNNING, {FIRST: DONE}),
+            encode_speeds({"w1": -2, "w2": 0}),
+        ]
+        loaded = self.load_all(records)
+        self.assertEqual(set(loaded.by_job), {"a"})
+        self.assertEqual(loaded.speed_levels, {"w1": -2, "w2": 0})
+
+    def test_odd_speeds_are_as_none(self) -> None:
+        """Guards against a coordinator that can't begin because of what is only believed."""
+        for value in (b"", b"{}", b'{"levels": {"w1": "fast"}}', b'{"levels": [1]}'):
+            with self.subTest(value=value):
+                loaded = self.load_all([KeyedRecord("worker-speeds", value)])
+                self.assertEqual(loaded.speed_levels, {})
+
     def test_the_parts_of_a_job_are_joined(self) -> None:
         records = [
             encode_progress("a", JobState.RUNNING, {FIRST: DONE}),
