Let at most two overdue jobs come before urgent work

Cause: under load that never ceases, all patient jobs that had waited for 30 s would have come before all urgent work without a guarantee.

Change: only the two that have waited the longest do; the next ones follow as these start. order_key is again as it was.

Tests: test_overdue.py; the bound of test_patient_work.py holds as before.

--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -42,26 +42,23 @@
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
 # A job that has had no run for this long comes before all work without a guarantee, and keeps the
-# room that it waits for.
+# room that it waits for; of several, those that have waited the longest.
 MAX_WAIT_WITHOUT_RUN_MS = 30_000
+MAX_OVERDUE_STEPS = 2
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
 
 
-def order_key(
-    step: ReadyStep, now_ms: int
-) -> tuple[bool, bool, bool, int, bool, int, str, int, int]:
+def order_key(step: ReadyStep, now_ms: int) -> tuple[bool, bool, int, bool, int, str, int, int]:
     """Return the queue sort key: guaranteed work first, then by priority, then by objective.
 
-    Steps of jobs that have had no run for too long come before other work without a guarantee.
     Steps that can't end in time to be of use come after all that can. Within a priority, steps that
     can't meet their objective come after those that can.
     """
     earliest_end_ms = now_ms + step.expected_ms
     return (
         not step.entitled,
-        not _is_overdue(step, now_ms),
         earliest_end_ms > step.expired_ms,
         step.job.priority,
         earliest_end_ms > step.due_ms,
@@ -90,13 +87,20 @@
     """
     run = _Pass(workers, placed_runs, now_ms, headroom, slowdown)
     run.claim(claims, steps)
-    for step in sorted(steps, key=lambda each: order_key(each, now_ms)):
-        run.place(step)
+    overdue = _overdue_steps(steps, now_ms)
+    for step in sorted(
+        steps,
+        key=lambda each: (not each.entitled, each.key not in overdue, order_key(each, now_ms)),
+    ):
+        run.place(step, step.key in overdue)
     return run.result()
 
 
-def _is_overdue(step: ReadyStep, now_ms: int) -> bool:
-    return step.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS
+def _overdue_steps(steps: Sequence[ReadyStep], now_ms: int) -> set[tuple[str, int, int]]:
+    """Return the steps that have waited the longest, of jobs that have had no run for too long."""
+    overdue = [each for each in steps if each.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS]
+    overdue.sort(key=lambda each: (-each.idle_ms(now_ms), each.key))
+    return {each.key for each in overdue[:MAX_OVERDUE_STEPS]}
 
 
 class _Pass:
@@ -147,7 +151,7 @@
         """Hold the room that runs were stopped for in earlier passes."""
         self._claimed = ClaimedRoom(self._cluster, claims, steps, self._now_ms)
 
-    def place(self, step: ReadyStep) -> None:
+    def place(self, step: ReadyStep, overdue: bool) -> None:
         """Place the waiting tasks of a step, or preempt or reserve what they need."""
         claimed = self._claimed.take(step)
         groups = candidate_groups(self._cluster, step, self._now_ms)
@@ -174,7 +178,7 @@
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
         if self._make_room(unplaced, groups, claimed) or chosen:
             return
-        if _is_overdue(step, self._now_ms) and not step.isolated:
+        if overdue and not step.isolated:
             self._keep_room(step, groups, claimed)
             return
         self._reserve(step, groups)
