Tell callers to return at once only if the store fails reads of this instance too

Cause: a store that answers reads and refuses all appends would have sent all callers from instance to instance without a pause, and their four tries are soon used up. Found by reading.

Change: Retry-After is 0 if the records are current and a probe of this instance has failed; otherwise it stays at 1 s.

Tests: test_callers_wait_if_the_store_answers_reads fails without the condition.

--- a/libs/gateway/src/hornbeamfold/gateway/jobs.py
+++ b/libs/gateway/src/hornbeamfold/gateway/jobs.py
@@ -180,9 +180,16 @@
             eventlet.sleep(RETRY_MS / 1_000)
 
     def _unavailable(self, reason: str) -> Refused:
-        """Return a refusal; the caller may return at once if other instances reach the store."""
+        """Return a refusal; the caller may return at once if other instances reach the store.
+
+        That is known if the records are current although the store does not answer this instance.
+        A store that answers reads refuses the records of other instances as well.
+        """
         current = not self._follower.failing and self._follower.age_ms() <= MAX_CURRENT_AGE_MS
-        return Refused(ErrorKind.LOG_UNAVAILABLE, reason, retry_after_s=0 if current else None)
+        others_served = current and self._store_access.cut_off
+        return Refused(
+            ErrorKind.LOG_UNAVAILABLE, reason, retry_after_s=0 if others_served else None
+        )
 
     def _log_answer(self, call: str, job_id: str, answer: State | Refused) -> State | Refused:
         kind = answer.kind.value if isinstance(answer, Refused) else answer.value
--- a/libs/gateway/src/hornbeamfold/gateway/store_access.py
+++ b/libs/gateway/src/hornbeamfold/gateway/store_access.py
@@ -36,12 +36,18 @@
         self._spawn = spawn
         self._suspected_since_ms: int | None = None
         self._probing = False
+        self._read_failed = False
 
     @property
     def suspected(self) -> bool:
         """Whether an append is likely to fail."""
         return self._suspected_since_ms is not None
 
+    @property
+    def cut_off(self) -> bool:
+        """Whether the store has failed a read of this instance too, so that it may be alone."""
+        return self._read_failed
+
     def suspected_ms(self) -> int:
         """Return for how long the store has been suspected."""
         return 0 if self._suspected_since_ms is None else self._clock() - self._suspected_since_ms
@@ -62,6 +68,7 @@
             return
         logger.info("store_answers", extra={"suspected_ms": self.suspected_ms()})
         self._suspected_since_ms = None
+        self._read_failed = False
 
     def _probe(self) -> None:
         """Read until the store answers."""
@@ -70,6 +77,7 @@
                 if not isinstance(self._topic.read(self._end_offset(), 0), ReadFailed):
                     self._clear()
                     return
+                self._read_failed = True
                 eventlet.sleep(PROBE_INTERVAL_MS / 1_000)
         finally:
             self._probing = False
--- a/libs/gateway/tests/test_store_access.py
+++ b/libs/gateway/tests/test_store_access.py
@@ -2,8 +2,11 @@
 
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
 from unittest import mock
 
+from greenlet import GreenletExit
+
 from hornbeamfold.batch import (
     AppendOutcome,
     BatchJob,
@@ -79,6 +82,11 @@
             self.follower.read(0)
         return self.calls.submit(job(job_id), self.now + 3_000)
 
+    def probe_once(self) -> None:
+        """Let the thread that looks for the store read once, and kill it in its pause."""
+        with mock.patch("eventlet.sleep", side_effect=GreenletExit), suppress(GreenletExit):
+            self.probes.pop(0)()
+
     def test_only_one_call_waits_for_a_silent_store(self) -> None:
         """Guards against callers who get a 504 one after the other from the same instance."""
         first = self.submit("a")
@@ -94,12 +102,24 @@
     def test_callers_return_at_once_if_others_reach_the_store(self) -> None:
         """Guards against urgent callers who lose a second before they ask another instance."""
         self.submit("a")
+        self.probe_once()
         second = self.submit("b")
         assert isinstance(second, Refused)
         self.assertEqual(second.retry_after_s, 0)
 
+    def test_callers_wait_if_the_store_answers_reads(self) -> None:
+        """Guards against callers who use up their tries at once while it refuses all instances."""
+        self.outcome = NotStored("status 429")
+        self.reachable = True
+        self.submit("a")
+        self.probe_once()
+        second = self.submit("b")
+        assert isinstance(second, Refused)
+        self.assertIsNone(second.retry_after_s)
+
     def test_callers_wait_if_nobody_is_known_to_reach_the_store(self) -> None:
         self.submit("a")
+        self.probe_once()
         self.relayed = False
         self.now += 2_000
         second = self.submit("b")
