--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -49,8 +49,9 @@
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
 # A job that has had no run for this long comes before all work without a guarantee, and keeps the
-# room that it waits for.
+# room that it waits for; of several, those that have waited the longest.
 MAX_WAIT_WITHOUT_RUN_MS = 30_000
+MAX_OVERDUE_STEPS = 2
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
@@ -58,10 +59,9 @@
 
 def order_key(
     step: ReadyStep, now_ms: int
-) -> tuple[bool, bool, bool, int, bool, bool, int, str, int, int]:
+) -> tuple[bool, bool, int, bool, bool, int, str, int, int]:
     """Return the queue sort key: guaranteed work first, then by priority, then by objective.
 
-    Steps of jobs that have had no run for too long come before other work without a guarantee.
     Steps that can't end in time to be of use come after all that can. Within a priority, jobs
     beyond what their organisation is owed come last, and steps that can't meet their objective come
     after those that can.
@@ -69,7 +69,6 @@
     earliest_end_ms = now_ms + step.expected_ms
     return (
         not step.entitled,
-        not _is_overdue(step, now_ms),
         earliest_end_ms > step.expired_ms,
         step.job.priority,
         step.beyond_owed,
@@ -102,13 +101,27 @@
     shares = OrganisationShares(organisations, steps, workers, now_ms)
     run = _Pass(workers, placed_runs, now_ms, headroom, slowdown, limits, shares)
     run.claim(claims, steps)
-    for step in shares.in_order(sorted(steps, key=lambda each: order_key(each, now_ms))):
-        run.place(step)
+    overdue = _overdue_steps(steps, now_ms)
+    queue = sorted(
+        steps,
+        key=lambda each: (not each.entitled, each.key not in overdue, order_key(each, now_ms)),
+    )
+    others: list[ReadyStep] = []
+    for step in queue:
+        if step.entitled or step.key in overdue:
+            run.place(step, step.key in overdue)
+            continue
+        others.append(step)
+    for step in shares.in_order(others):
+        run.place(step, overdue=False)
     return run.result()
 
 
-def _is_overdue(step: ReadyStep, now_ms: int) -> bool:
-    return step.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS
+def _overdue_steps(steps: Sequence[ReadyStep], now_ms: int) -> set[tuple[str, int, int]]:
+    """Return the steps that have waited the longest, of jobs that have had no run for too long."""
+    overdue = [each for each in steps if each.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS]
+    overdue.sort(key=lambda each: (-each.idle_ms(now_ms), each.key))
+    return {each.key for each in overdue[:MAX_OVERDUE_STEPS]}
 
 
 class _Pass:
@@ -164,14 +177,14 @@
         """Hold the room that runs were stopped for in earlier passes."""
         self._claimed = ClaimedRoom(self._cluster, claims, steps, self._now_ms)
 
-    def place(self, step: ReadyStep) -> None:
+    def place(self, step: ReadyStep, overdue: bool) -> None:
         """Place the waiting tasks of a step that its organisation's limit has room for."""
         startable = self._limits.startable(step)
         if startable == len(step.waiting):
-            self._place_startable(step)
+            self._place_startable(step, overdue)
             return
         if startable:
-            self._place_startable(replace(step, waiting=step.waiting[:startable]))
+            self._place_startable(replace(step, waiting=step.waiting[:startable]), overdue)
         else:
             self._blocked += 1
             self._explain(explain_limit(self._cluster, step, self._now_ms))
@@ -189,7 +202,7 @@
         victims = self._limits.runs_to_preempt(step, self._preemptible_runs, max_lost_work)
         self._preempt(step, victims, "limit")
 
-    def _place_startable(self, step: ReadyStep) -> None:
+    def _place_startable(self, step: ReadyStep, overdue: bool) -> None:
         """Place the waiting tasks of a step, or preempt or reserve what they need."""
         claimed = self._claimed.take(step)
         groups = candidate_groups(self._cluster, step, self._now_ms)
@@ -214,7 +227,7 @@
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
         if self._make_room(unplaced, groups, claimed) or chosen:
             return
-        if _is_overdue(step, self._now_ms) and not step.isolated:
+        if overdue and not step.isolated:
             self._keep_room(step, groups, claimed)
             return
         self._reserve(step, groups)
