--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -36,6 +36,7 @@
     "batch",
     "ledger",
     "relay",
+    "interference",
     "scheduling",
     "gateway",
     "coordinator",
