--- a/libs/batch/src/hornbeamfold/batch/bounds.py
+++ b/libs/batch/src/hornbeamfold/batch/bounds.py
@@ -15,3 +15,6 @@
     cancel_ms: int = 3_000  # no run of a job starts later than this after its cancellation
     early_ms: int = 250  # a scheduled task may start this long before its time
     grace_period_ms: int = 6_000  # from SIGTERM to SIGKILL
+    # A serving task may exceed its latency target for this long beside best-effort tasks.
+    latency_grace_ms: int = 4_500
+    pacing_ms: int = 100  # a worker paces a run within this time
--- a/libs/batch/src/hornbeamfold/batch/ports.py
+++ b/libs/batch/src/hornbeamfold/batch/ports.py
@@ -232,6 +232,19 @@
     token: int
 
 
+@dataclass(frozen=True)
+class PaceOrder:
+    """Lets a run work at a share of its usual rate, from 0 to 100 percent."""
+
+    name: RunName
+    percent: int
+    token: int
+
+
+def _no_pacing(worker: Worker, order: PaceOrder) -> OrderOutcome:
+    return Refused(Refusal.INVALID)
+
+
 @dataclass(frozen=True)
 class WorkerPort:
     """Lease renewals and orders to workers."""
@@ -239,3 +252,4 @@
     renew: Callable[[Worker, LeaseRenewal], LeaseReport | Refused | NoAnswer]
     start: Callable[[Worker, StartOrder], OrderOutcome]
     stop: Callable[[Worker, StopOrder], OrderOutcome]
+    pace: Callable[[Worker, PaceOrder], OrderOutcome] = _no_pacing
--- a/libs/batch/src/hornbeamfold/batch/workers.py
+++ b/libs/batch/src/hornbeamfold/batch/workers.py
@@ -48,11 +48,17 @@
 
 @dataclass(frozen=True)
 class RunningTask:
-    """A run that a worker reports as running; `percent` is its progress or its share at work."""
+    """A run that a worker reports as running; `percent` is its progress or its share at work.
+
+    `load` is a rough figure for the last half second, or None if the worker reports none: the tail
+    of the response times in milliseconds if the step has a latency target, or else the CPU time in
+    use in thousandths of a core.
+    """
 
     name: RunName
     checkpoint: str
     percent: float
+    load: float | None = None
 
 
 @dataclass(frozen=True)
