Let a slowdown depend on what a pass has placed so far

Two steps of one pass that disturb each other would be placed on the same worker, as neither was there when the pass began, and so would all tasks of a step that disturb their own kind. A worker now has the newcomers of the pass, and pack spreads tasks that slow each other down. Without a slowdown, plans are the same as before.

--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -6,10 +6,11 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.inputs import CandidateWorker, ReadyStep, Slowdown, no_slowdown
+from hornbeamfold.scheduling.spread import spread
 
 # Weight of the accelerator share relative to the CPU and memory shares in the best-fit score.
 # Accelerators are allocated in whole units, so fragmentation wastes them the most.
@@ -130,6 +131,21 @@
         """Return how many times as long as usual a task of a step takes on a worker."""
         return self._slowdown(step, self._workers[worker_id])
 
+    def slowdown_beside(self, step: ReadyStep, worker_id: str, siblings: int) -> float:
+        """Return the slowdown on a worker that also gets this many more tasks of the step."""
+        if self._slowdown is no_slowdown:
+            return 1.0
+        worker = self._workers[worker_id]
+        newcomers = worker.newcomers + (step,) * siblings
+        return self._slowdown(step, replace(worker, newcomers=newcomers))
+
+    def note_newcomer(self, step: ReadyStep, worker_id: str) -> None:
+        """Remember that a task of a step is placed on a worker, for the steps after it."""
+        if self._slowdown is no_slowdown:
+            return
+        worker = self._workers[worker_id]
+        self._workers[worker_id] = replace(worker, newcomers=(*worker.newcomers, step))
+
     def has_worker(self, worker_id: str) -> bool:
         """Return whether the worker accepts new tasks."""
         return worker_id in self._workers
@@ -302,6 +318,12 @@
             share = remaining_share(cluster.worker(worker_id), resources)
             ranked.append((cluster.slowdown(step, worker_id), share, worker_id, fit))
     ranked.sort()
+    if count > 1 and ranked:
+        slowdown, _, fastest, _ = ranked[0]
+        if cluster.slowdown_beside(step, fastest, 1) > slowdown:
+            return spread(
+                ranked, count, lambda each, siblings: cluster.slowdown_beside(step, each, siblings)
+            )
     chosen: list[str] = []
     for _, _, worker_id, fit in ranked:
         # The best-fitting worker remains the best fit while another task fits on it.
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -20,7 +20,8 @@
 class CandidateWorker:
     """A worker that accepts new tasks, with its total and free resources.
 
-    A `last_resort` takes only tasks of jobs that would wait for too long otherwise.
+    A `last_resort` takes only tasks of jobs that would wait for too long otherwise. `newcomers` has
+    a step for each task that the pass has placed there so far, if a slowdown may depend on that.
     """
 
     worker_id: str
@@ -32,6 +33,7 @@
     free: Resources
     has_runs: bool = False
     last_resort: bool = False
+    newcomers: tuple["ReadyStep", ...] = ()
 
 
 @dataclass(frozen=True)
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -147,6 +147,7 @@
         """Assign the first waiting tasks of a step to these workers."""
         for index, worker_id in zip(step.waiting, workers, strict=False):
             self._cluster.allocate(worker_id, step.step.reserved)
+            self._cluster.note_newcomer(step, worker_id)
             self._assignments.append(
                 Assignment(step.job.job_id, step.ref(index), worker_id, reason)
             )
