Keep disturbing tasks apart, and pace best-effort tasks beside serving ones

The coordinator feeds each report to the learner and to the controller. The planner ranks workers by the learned slowdown, and not at all while nothing is found. Pace orders carry the fencing token and are repeated until the worker is known to have the share; an order without an answer may come late, so the share is sent again for 6 s. Paced runs are no stragglers, and their durations are not recorded. A run that gets no share for 12 s, or whose pace is not confirmed while a target is exceeded, is stopped and placed elsewhere, unless its callers allow no further absence.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -33,6 +33,8 @@
 # A task that crashes its workers does so soon after its start. Later on, a run that must be alone
 # shares its worker again.
 ISOLATION_RUN_MS = 5_000
+# The share at which a run works from its start on, in percent.
+FULL_PACE = 100
 _ends = counter("hornbeamfold_run_ends", "Ends of runs by kind.")
 
 
@@ -59,7 +61,8 @@
     `incarnation` is the birth (Unix time) of the worker's incarnation that last listed the run or
     was sent its start order, or None if the order was not sent. `holding` says whether that
     incarnation had the run. `shared_crash` is set when that incarnation crashed and another run on
-    it has ended because of that.
+    it has ended because of that. `pace_percent` is the share at which its worker lets the run work,
+    or None if that is not known.
     """
 
     name: RunName
@@ -77,6 +80,7 @@
     incarnation: int | None = None
     holding: Holding = Holding.NONE
     shared_crash: bool = False
+    pace_percent: int | None = FULL_PACE
 
     @property
     def listed_for_ms(self) -> int:
@@ -191,6 +195,7 @@
                     # The order may have been sent.
                     incarnation=task.born_ms or None,
                     holding=Holding.POSSIBLE,
+                    pace_percent=None if job.steps[ref.step].best_effort else FULL_PACE,
                 )
             )
 
@@ -297,6 +302,14 @@
         if tracked is not None and tracked.clear_crashes(task.name, now - run.begun_ms):
             self._changed.add(task.name.job_id)
 
+    def set_pace(self, name: RunName, percent: int | None) -> None:
+        """Record at which share a run works, or None if unknown; its progress counts from anew."""
+        run = self._runs.get(name)
+        if run is not None and run.pace_percent != percent:
+            self._runs[name] = replace(
+                run, pace_percent=percent, moved_ms=self._clock(), from_percent=None
+            )
+
     def set_incarnation(self, name: RunName, born_ms: int) -> None:
         """Record which incarnation of its worker lists a run or is sent its start order."""
         run = self._runs.get(name)
--- a/libs/coordinator/src/hornbeamfold/coordinator/orders.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/orders.py
@@ -1,4 +1,4 @@
-"""Sends start and stop orders to one worker and retries each until its outcome is known."""
+"""Sends orders to one worker; those to start and stop until their outcome is known."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -12,6 +12,7 @@
     Clock,
     NoAnswer,
     OrderOutcome,
+    PaceOrder,
     Refusal,
     Refused,
     RunName,
@@ -247,6 +248,25 @@
                 case Refused() | NoAnswer():
                     eventlet.sleep(RETRY_MS / 1_000)
 
+    def pace(self, name: RunName, percent: int, on_outcome: Callable[[OrderOutcome], None]) -> None:
+        """Send a pace order once, in the background."""
+
+        def pace() -> None:
+            on_outcome(self._send_pace_once(name, percent))
+
+        eventlet.spawn_n(log_exceptions(pace))
+
+    def _send_pace_once(self, name: RunName, percent: int) -> OrderOutcome:
+        order = PaceOrder(name, percent, self._token)
+        with self._slots:
+            if not self._hooks.is_active() or not self._link.is_open():
+                return Refused(Refusal.TOO_LATE)
+            worker = self._link.worker()
+            outcome = _outcome_of(lambda: self._port.pace(worker, order), name, worker)
+        if outcome == Refused(Refusal.FENCED):
+            self._hooks.on_fenced(f"worker {worker.worker_id}")
+        return outcome
+
     def stop_unknown_run(self, name: RunName) -> None:
         """Stop a run that the worker lists and the job tracker does not have."""
         eventlet.spawn_n(log_exceptions(self._stop_once), name)
--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -6,6 +6,7 @@
 from hornbeamfold.batch import Bounds, Clock, OperatorState
 from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.interference import Interference
 from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker
 from hornbeamfold.coordinator.planner_inputs import (
@@ -29,6 +30,7 @@
 
     tracker: JobTracker
     health: WorkerHealth
+    interference: Interference
     bounds: Bounds
     clock: Clock
     unix_clock: Clock
@@ -70,7 +72,9 @@
         self._urgent_demand.record(steps, began)
         headroom = self._urgent_demand.headroom()
         placed_runs = self._placed_runs.current(tracker, began)
-        new_plan = plan(steps, candidates, placed_runs, began, headroom)
+        interference = self._deps.interference
+        new_plan = plan(steps, candidates, placed_runs, began, headroom, interference.slowdown())
+        interference.log_kept_apart(steps, candidates, new_plan)
         _plan_ms(self._deps.clock() - began)
         ordinary = sum(not each.last_resort for each in candidates)
         self._wait_log.record(new_plan.waits, ordinary, health.excluded_count, all_workers)
--- a/libs/coordinator/src/hornbeamfold/coordinator/reports.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/reports.py
@@ -5,6 +5,7 @@
 
 from hornbeamfold.batch import Clock, EndedTask, LeaseReport, RunEnd, RunName
 from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.interference import Interference
 from hornbeamfold.coordinator.job_tracker import JobTracker
 from hornbeamfold.coordinator.run_losses import RunLosses
 from hornbeamfold.coordinator.session import Session
@@ -29,6 +30,7 @@
     tracker: JobTracker
     losses: RunLosses
     health: WorkerHealth
+    interference: Interference
     unread_runs: Callable[[], Mapping[RunName, str]]
     has_unread_run: Callable[[RunName], bool]
     end_run: Callable[[RunName, RunEnd, str], None]
@@ -65,6 +67,7 @@
             if run.gang_done_ms is not None and sent_ms > run.gang_done_ms + GANG_END_MS:
                 self._deps.stop_runs((run.name,), "gang is done")
         session.set_unknown_runs(unknown)
+        self._deps.interference.on_report(session, report)
         reported.update(each.name for each in report.ended)
         for run in self._deps.tracker.runs_on(worker.worker_id):
             if run.name in reported:
--- a/libs/coordinator/src/hornbeamfold/coordinator/stragglers.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/stragglers.py
@@ -5,7 +5,7 @@
 from statistics import median
 
 from hornbeamfold.batch import RunName, Step, Worker
-from hornbeamfold.coordinator.job_tracker import JobTracker, Run
+from hornbeamfold.coordinator.job_tracker import FULL_PACE, JobTracker, Run
 
 # A run without progress for this long, which spans at least two reports, is started elsewhere.
 STALL_TIMEOUT_MS = 2_500
@@ -43,7 +43,7 @@
         if tracked is None or run.stop_reason or run.settled_ms is None:
             continue
         step = tracked.job.steps[run.name.task.step]
-        if step.long_running or run.percent >= 100:
+        if step.long_running or run.percent >= 100 or run.pace_percent != FULL_PACE:
             continue
         if now_ms - run.moved_ms > STALL_TIMEOUT_MS:
             found.append(Relocation(run.name, "stalled"))
--- a/libs/coordinator/src/hornbeamfold/coordinator/term.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/term.py
@@ -23,6 +23,7 @@
 from hornbeamfold.coordinator.announcer import Announcer
 from hornbeamfold.coordinator.fenced_writer import FencedWriter
 from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.interference import Interference, InterferenceDependencies
 from hornbeamfold.coordinator.job_intake import IntakeHooks, JobIntake
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
 from hornbeamfold.coordinator.journal import Journal
@@ -99,8 +100,13 @@
         self._record = CoordinatorRecord(deps.incarnation, epoch)
         self._tracker = JobTracker(deps.clock)
         self._health = WorkerHealth(deps.clock)
+        self._interference = Interference(
+            InterferenceDependencies(self._tracker, deps.bounds, deps.clock, self._stop_all)
+        )
         self._planner = PassPlanner(
-            PlannerDependencies(self._tracker, self._health, deps.bounds, deps.clock, deps.wall)
+            PlannerDependencies(
+                self._tracker, self._health, self._interference, deps.bounds, deps.clock, deps.wall
+            )
         )
         self._losses = RunLosses(
             self._tracker,
@@ -164,6 +170,7 @@
                 self._tracker,
                 self._losses,
                 self._health,
+                self._interference,
                 self._unread_runs,
                 self._intake.has_unread_run,
                 self._end_run,
@@ -336,6 +343,7 @@
             if not session.reachable and not self._tracker.runs_on(worker_id):
                 session.close()
                 del self._sessions[worker_id]
+                self._interference.forget_worker(worker_id)
 
     def _log_capacity_change(self, before: Worker, after: Worker) -> None:
         if before.capacity == after.capacity:
