Pace best-effort runs also while a run of an ended job is listed

A report with one unknown run was left out altogether, so a target could be missed while a cancelled job's run is being stopped. Only learning needs all runs.

--- a/libs/coordinator/src/hornbeamfold/coordinator/interference.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/interference.py
@@ -39,6 +39,8 @@
 # The kinds that are logged when a step with an image, a latency target or best effort is first met.
 MAX_LOGGED_KINDS = 200
 
+_KnownRun = tuple[Run, BatchJob, RunningTask]
+
 
 @dataclass(frozen=True)
 class InterferenceDependencies:
@@ -74,13 +76,18 @@
         if report.born_ms != before[0]:
             self.forget_worker(worker_id)
         self._reported[worker_id] = (report.born_ms, report.clock_ms)
+        self._log_first_load(worker_id, report)
         known = self._known_runs(worker_id, report)
-        if known is None:
+        if len(known) == len(report.running):
+            self._learn(worker_id, report.clock_ms, known)
+        else:
+            # What a run that is not known does to the others would be blamed on them.
             self._learner.forget_worker(worker_id)
-            return
-        self._log_first_load(worker_id, report)
+        self._pacing.on_report(session, [(run, _step(run, job), task) for run, job, task in known])
+
+    def _learn(self, worker_id: str, clock_ms: int, known: Sequence[_KnownRun]) -> None:
         observations = [self._observation(run, job, task) for run, job, task in known]
-        for finding in self._learner.observe(worker_id, report.clock_ms, observations):
+        for finding in self._learner.observe(worker_id, clock_ms, observations):
             _found(1)
             logger.info(
                 "disturbance_found",
@@ -91,8 +98,6 @@
                     "worker": worker_id,
                 },
             )
-        rows = [(run, _step(run, job), task) for run, job, task in known]
-        self._pacing.on_report(session, rows)
 
     def forget_worker(self, worker_id: str) -> None:
         """Drop what is known of a worker that is gone."""
@@ -100,18 +105,15 @@
         self._learner.forget_worker(worker_id)
         self._pacing.forget_worker(worker_id)
 
-    def _known_runs(
-        self, worker_id: str, report: LeaseReport
-    ) -> list[tuple[Run, BatchJob, RunningTask]] | None:
-        """Return the reported runs, or None if one of them is not known."""
+    def _known_runs(self, worker_id: str, report: LeaseReport) -> list[_KnownRun]:
+        """Return the reported runs that are known, with their jobs."""
         tracker = self._deps.tracker
-        found: list[tuple[Run, BatchJob, RunningTask]] = []
+        found: list[_KnownRun] = []
         for task in report.running:
             run = tracker.runs.get(task.name)
             tracked = tracker.jobs.get(task.name.job_id)
-            if run is None or tracked is None or run.worker_id != worker_id:
-                return None
-            found.append((run, tracked.job, task))
+            if run is not None and tracked is not None and run.worker_id == worker_id:
+                found.append((run, tracked.job, task))
         return found
 
     def _observation(self, run: Run, job: BatchJob, task: RunningTask) -> Observation:
--- a/libs/coordinator/tests/test_interference.py
+++ b/libs/coordinator/tests/test_interference.py
@@ -309,6 +309,22 @@
         self.report("w1", {"site": 300})
         self.assertEqual(self.orders.paced[-1], ("fill", 25))
 
+    def test_pacing_goes_on_beside_runs_of_unknown_jobs(self) -> None:
+        """Guards against a target that is missed while a cancelled job's run is being stopped."""
+        other = self.start("other", FRAME, "w1")
+        self.report("w1", {"site": 50})
+        self.tracker.cancel(other.job_id)
+        site = next(name for name in self.tracker.runs if name.job_id == "site")
+        self.clock.move(REPORT_MS)
+        running = (
+            RunningTask(other, "", 10.0),
+            RunningTask(site, "", 100.0, 300.0),
+            RunningTask(self.fill, "", 10.0),
+        )
+        report = LeaseReport(self.clock(), 1, running, ())
+        self.interference.on_report(self.sessions["w1"], report)  # type: ignore[arg-type]
+        self.assertEqual(self.percent(), 25)
+
     def test_without_serving_tasks_there_is_nothing_to_pace_for(self) -> None:
         self.report("w1", {"site": 300})
         site = next(name for name in self.tracker.runs if name.job_id == "site")
--- a/libs/interference/src/hornbeamfold/interference/pacing.py
+++ b/libs/interference/src/hornbeamfold/interference/pacing.py
@@ -74,14 +74,17 @@
 def next_pace(state: PaceState, reading: Reading, limits: PaceLimits) -> PaceState:
     """Return the state after a reading."""
     now = reading.at_ms
-    if state.good_ms is None:
-        state = replace(state, good_ms=now)
+    good_ms = now if state.good_ms is None else state.good_ms
+    state = replace(state, good_ms=good_ms)
+    long_since_good = now - good_ms >= limits.patience_ms
     if reading.ratio is None:
-        return _unseen(state, now, limits)
+        if not long_since_good or state.percent <= UNSEEN_PERCENT:
+            return state
+        return _cut(state, UNSEEN_PERCENT, now)
     if reading.ratio >= 1:
         # The latency may have exceeded the target right after the last good reading.
-        long_over = now - (state.good_ms or now) >= limits.patience_ms
-        return _cut(state, 0 if long_over else int(state.percent * OVER_TARGET_FACTOR), now)
+        percent = 0 if long_since_good else int(state.percent * OVER_TARGET_FACTOR)
+        return _cut(state, percent, now)
     state = replace(state, good_ms=now)
     if reading.ratio >= HIGH_RATIO:
         factor = max(MIN_CUT_FACTOR, 1 - GAIN * (reading.ratio - CALM_RATIO))
@@ -97,12 +100,6 @@
     return since_ms is not None and now_ms - since_ms >= MAX_STARVED_MS
 
 
-def _unseen(state: PaceState, now: int, limits: PaceLimits) -> PaceState:
-    if now - (state.good_ms or now) < limits.patience_ms or state.percent <= UNSEEN_PERCENT:
-        return state
-    return _cut(state, UNSEEN_PERCENT, now)
-
-
 def _cut(state: PaceState, percent: int, now: int) -> PaceState:
     percent = percent if percent >= FLOOR_PERCENT else 0
     hold_ms = state.hold_ms
