--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -37,6 +37,7 @@
     "configcheck",
     "ledger",
     "relay",
+    "interference",
     "scheduling",
     "estimates",
     "gateway",
--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -6,6 +6,7 @@
 from hornbeamfold.batch import Bounds, Clock, OperatorState, Resources
 from hornbeamfold.coordinator.demand import UrgentDemand
 from hornbeamfold.coordinator.health import WorkerHealth
+from hornbeamfold.coordinator.interference import Interference
 from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker
 from hornbeamfold.coordinator.limit_log import LimitLog
@@ -20,7 +21,7 @@
 from hornbeamfold.coordinator.run_speeds import RunSpeeds
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.wait_log import WaitLog
-from hornbeamfold.scheduling import Claim, Plan, Slowdown, can_start_any, plan, product
+from hornbeamfold.scheduling import Claim, Plan, can_start_any, plan
 from hornbeamfold.telemetry import get_logger, histogram
 
 logger = get_logger("hornbeamfold.coordinator.pass_planner")
@@ -39,6 +40,7 @@
     tracker: JobTracker
     health: WorkerHealth
     speeds: RunSpeeds
+    interference: Interference
     bounds: Bounds
     clock: Clock
     unix_clock: Clock
@@ -102,16 +104,19 @@
         self._urgent_demand.record(startable, began)
         headroom = self._urgent_demand.headroom()
         placed_runs = self._placed_runs.current(tracker, began)
+        interference = self._deps.interference
         new_plan = plan(
             steps,
             candidates,
             placed_runs,
             began,
             headroom,
-            self._slowdown(),
+            self._deps.speeds.slowdown(),
+            interference.slowdown(),
             organisations=uses,
             claims=self._claims,
         )
+        interference.log_kept_apart(steps, candidates, new_plan)
         self._claims = new_plan.claims
         self._placed_runs.record_preemptions(new_plan.preemptions)
         _plan_ms(self._deps.clock() - began)
@@ -121,10 +126,6 @@
         self._wait_log.record(new_plan.waits, ordinary, health.excluded_count, all_workers)
         return new_plan
 
-    def _slowdown(self) -> Slowdown:
-        """Return how many times as long as usual tasks take on the workers, for all causes."""
-        return product((self._deps.speeds.slowdown(),))
-
     def _log_limited_offers(self, steps: int) -> None:
         """Log when passes begin or cease to leave out steps that are ready."""
         limited = steps >= MAX_OFFERED_STEPS
--- a/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/cluster.py
@@ -6,12 +6,19 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 
 from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.inputs import CandidateWorker, ReadyStep, Slowdown, no_slowdown
-from hornbeamfold.scheduling.worker_choice import TRIAL_TASKS, may_try, reluctance
+from hornbeamfold.scheduling.spread import spread
+from hornbeamfold.scheduling.worker_choice import (
+    TRIAL_TASKS,
+    Reluctance,
+    may_try,
+    product,
+    reluctance,
+)
 
 # Weight of the accelerator share relative to the CPU and memory shares in the best-fit score.
 # Accelerators are allocated in whole units, so fragmentation wastes them the most.
@@ -20,7 +27,8 @@
 FAR_FUTURE_MS = 1 << 62
 NOTHING = Resources()
 # The rank of workers that are taken before all others.
-FIRST = -inf
+FIRST: Reluctance = (-inf, 0.0)
+NO_RELUCTANCE: Reluctance = (0.0, 0.0)
 
 
 @dataclass(frozen=True)
@@ -64,8 +72,11 @@
         workers: Iterable[CandidateWorker],
         slowdown: Slowdown = no_slowdown,
         now_ms: int = 0,
+        disturbance: Slowdown = no_slowdown,
     ) -> None:
         self._slowdown = slowdown
+        self._disturbance = disturbance
+        self._combined = product((slowdown, disturbance))
         self._now_ms = now_ms
         self._workers: dict[str, CandidateWorker] = {}
         self._free: dict[str, Resources] = {}
@@ -136,18 +147,37 @@
 
     def slowdown(self, step: ReadyStep, worker_id: str) -> float:
         """Return how many times as long as usual a task of a step takes on a worker."""
-        return self._slowdown(step, self._workers[worker_id])
+        return self._combined(step, self._workers[worker_id])
 
     @property
     def is_even(self) -> bool:
-        """Whether all workers are equally fast for every task."""
-        return self._slowdown is no_slowdown
+        """Whether all workers are equally fast for every task, and none disturbs another."""
+        return self._combined is no_slowdown
 
-    def reluctance(self, step: ReadyStep, worker_id: str) -> float:
-        """Return the rank of a worker for a step by its speed; the lowest are taken first."""
+    def reluctance(self, step: ReadyStep, worker_id: str, siblings: int = 0) -> Reluctance:
+        """Return the rank of a worker for a task of a step; the lowest are taken first.
+
+        The worker also gets this many more tasks of the step.
+        """
         if self.is_even:
-            return 0.0
-        return reluctance(step, self.slowdown(step, worker_id), self._now_ms)
+            return NO_RELUCTANCE
+        worker = self._workers[worker_id]
+        disturbance = self._disturbance(step, _with_newcomers(worker, step, siblings))
+        return reluctance(step, self._slowdown(step, worker), disturbance, self._now_ms)
+
+    def disturbs_itself(self, step: ReadyStep, worker_id: str) -> bool:
+        """Return whether tasks of a step would slow each other down on a worker."""
+        if self._disturbance is no_slowdown:
+            return False
+        worker = self._workers[worker_id]
+        beside = self._disturbance(step, _with_newcomers(worker, step, 1))
+        return beside > self._disturbance(step, worker)
+
+    def note_newcomer(self, step: ReadyStep, worker_id: str) -> None:
+        """Remember that a task of a step is placed on a worker, for the steps after it."""
+        if self._disturbance is no_slowdown:
+            return
+        self._workers[worker_id] = _with_newcomers(self._workers[worker_id], step, 1)
 
     def has_worker(self, worker_id: str) -> bool:
         """Return whether the worker accepts new tasks."""
@@ -264,6 +294,11 @@
         return available
 
 
+def _with_newcomers(worker: CandidateWorker, step: ReadyStep, count: int) -> CandidateWorker:
+    """Return a worker on which the pass has placed so many more tasks of a step."""
+    return replace(worker, newcomers=worker.newcomers + (step,) * count) if count else worker
+
+
 def is_eligible(step: ReadyStep, worker: CandidateWorker) -> bool:
     """Return whether the worker's service and labels allow the step, regardless of capacity."""
     if worker.service != step.job.service or worker.worker_id in step.avoid:
@@ -316,7 +351,7 @@
     Before them come some untried ones, if there is ample room.
     """
     trying = may_try(step) and cluster.is_half_idle(step.job.service)
-    ranked: list[tuple[float, float, str, int]] = []
+    ranked: list[tuple[Reluctance, float, str, int]] = []
     demand = step.step.reserved
     for worker_id in workers:
         resources = available(worker_id)
@@ -331,6 +366,10 @@
             share = remaining_share(worker, resources)
             ranked.append((cluster.reluctance(step, worker_id), share, worker_id, fit - tried))
     ranked.sort()
+    if count > 1 and ranked and cluster.disturbs_itself(step, ranked[0][2]):
+        return spread(
+            ranked, count, lambda each, siblings: cluster.reluctance(step, each, siblings)
+        )
     chosen: list[str] = []
     for _, _, worker_id, fit in ranked:
         # The best-fitting worker remains the best fit while another task fits on it.
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -21,7 +21,8 @@
     """A worker that accepts new tasks, with its total and free resources.
 
     A `last_resort` takes only tasks of jobs that would wait for too long otherwise. Some
-    single tasks on an `untried` worker would show how fast it is.
+    single tasks on an `untried` worker would show how fast it is. `newcomers` has a step for each
+    task that the pass has placed there so far, if a slowdown may depend on that.
     """
 
     worker_id: str
@@ -34,6 +35,7 @@
     has_runs: bool = False
     last_resort: bool = False
     untried: bool = False
+    newcomers: tuple["ReadyStep", ...] = ()
 
 
 @dataclass(frozen=True)
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -32,6 +32,7 @@
 from hornbeamfold.scheduling.reserve import earliest_fit, reserve
 from hornbeamfold.scheduling.shares import OrganisationShares
 from hornbeamfold.scheduling.waits import explain_limit, explain_wait, stranded_accelerators
+from hornbeamfold.scheduling.worker_choice import Reluctance
 
 # The maximum number of blocked steps with reserved capacity. With one, every large gang further
 # back would overtake a large gang near the head of the queue; with many, most of the capacity would
@@ -87,6 +88,7 @@
     now_ms: int,
     headroom: Mapping[str, int] = NO_HEADROOM,
     slowdown: Slowdown = no_slowdown,
+    disturbance: Slowdown = no_slowdown,
     organisations: Mapping[str, OrganisationUse] = NO_ORGANISATIONS,
     claims: Sequence[Claim] = (),
 ) -> Plan:
@@ -94,12 +96,14 @@
 
     `headroom` is the number of accelerators of each service that non-urgent work leaves free for
     the urgent work that is expected, so that fewer runs have to be preempted for it. `slowdown`
-    returns how many times as long as usual a task of a step takes on a worker. `organisations` are
-    those with limits or shares, and `claims` those of the plan before.
+    returns how many times as long as usual a task of a step takes on a worker by the worker's
+    speed, and `disturbance` by the tasks that run there. `organisations` are those with limits or
+    shares, and `claims` those of the plan before.
     """
     limits = OrganisationLimits(organisations, placed_runs, now_ms)
     shares = OrganisationShares(organisations, steps, workers, now_ms)
-    run = _Pass(workers, placed_runs, now_ms, headroom, slowdown, limits, shares)
+    cluster = ClusterCapacity(workers, slowdown, now_ms, disturbance)
+    run = _Pass(cluster, placed_runs, now_ms, headroom, limits, shares)
     run.claim(claims, steps)
     overdue = _overdue_steps(steps, now_ms)
     queue = sorted(
@@ -129,17 +133,16 @@
 
     def __init__(
         self,
-        workers: Sequence[CandidateWorker],
+        cluster: ClusterCapacity,
         placed_runs: Sequence[PlacedRun],
         now_ms: int,
         headroom: Mapping[str, int],
-        slowdown: Slowdown,
         limits: OrganisationLimits,
         shares: OrganisationShares,
     ) -> None:
         self._limits = limits
         self._shares = shares
-        self._cluster = ClusterCapacity(workers, slowdown, now_ms)
+        self._cluster = cluster
         self._idle_jobs = IdleJobPlacement(self._cluster, now_ms)
         self._placed_runs = placed_runs
         self._now_ms = now_ms
@@ -242,6 +245,7 @@
         self._shares.start(step, len(workers))
         for index, worker_id in zip(step.waiting, workers, strict=False):
             self._cluster.allocate(worker_id, step.step.reserved)
+            self._cluster.note_newcomer(step, worker_id)
             self._assignments.append(
                 Assignment(step.job.job_id, step.ref(index), worker_id, reason)
             )
@@ -401,7 +405,7 @@
     best: list[str] = []
     if count == 0:
         return best
-    best_reluctance = inf
+    best_reluctance: Reluctance = (inf, inf)
     needed = step.step.demand.accelerators
 
     def available(worker_id: str) -> Resources:
--- a/libs/scheduling/src/hornbeamfold/scheduling/worker_choice.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/worker_choice.py
@@ -9,6 +9,8 @@
 IN_TIME_FACTOR = 1.5
 # Slowdowns that differ less are equal, so that the best fit decides.
 DIGITS = 2
+# The rank of a worker, lowest first; the second number decides between equal first ones.
+Reluctance = tuple[float, float]
 # The single tasks that show how fast a worker is.
 TRIAL_TASKS = 2
 
@@ -30,17 +32,20 @@
     return combined
 
 
-def reluctance(step: ReadyStep, slowdown: float, now_ms: int) -> float:
-    """Return the rank of workers of a slowdown for a step; the lowest are taken first.
+def reluctance(step: ReadyStep, slowdown: float, disturbance: float, now_ms: int) -> Reluctance:
+    """Return the rank of a worker for a step; the lowest are taken first.
 
-    Urgent work takes the fastest. Other work leaves those to it, and takes the slowest of those
-    where it ends in time; if it is late everywhere, the fastest too.
+    `slowdown` is by the worker's speed and `disturbance` by other tasks there. Urgent work takes
+    the worker on which it ends first. Other work leaves fast workers to it: of those where it is
+    disturbed the least, it takes the slowest on which it ends in time. If it is late everywhere, it
+    takes the fastest too.
     """
-    slowdown = round(slowdown, DIGITS)
+    disturbance = round(disturbance, DIGITS)
+    combined = round(slowdown * disturbance, DIGITS)
     if step.entitled or step.job.priority == 0:
-        return slowdown
-    in_time = now_ms + IN_TIME_FACTOR * slowdown * step.expected_ms <= step.due_ms
-    return -slowdown if in_time else slowdown
+        return combined, 0.0
+    in_time = now_ms + IN_TIME_FACTOR * combined * step.expected_ms <= step.due_ms
+    return (disturbance, -round(slowdown, DIGITS)) if in_time else (combined, 0.0)
 
 
 def may_try(step: ReadyStep) -> bool:
