--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,7 +1,8 @@
 """Runs the unittest suites of the given libraries and prints a summary line.
 
 Each library is tested in its own process: eventlet, asyncio and the metrics keep process-wide
-state, so suites that share a process would interfere with each other.
+state, so suites that share a process would interfere with each other. Suites in a folder `alone`
+measure a process under load; they run one at a time after all others.
 """
 
 import re
@@ -16,6 +17,8 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 # Several suites start processes and have time bounds, so only a few run at once.
 PARALLEL = 3
+TESTS = "tests"
+ALONE = "tests/alone"
 CLOSING = re.compile(r"^closing: (\d+) passed, (\d+) failed, (\d+) skipped$", re.MULTILINE)
 
 
@@ -46,9 +49,9 @@
     return cases
 
 
-def run_library(lib: str) -> int:
-    """Run the tests of one library in this process."""
-    tests = ROOT / lib / "tests"
+def run_library(lib: str, folder: str) -> int:
+    """Run the tests in a folder of one library in this process."""
+    tests = ROOT / lib / folder
     sys.path.insert(0, str(tests))
     red = known_red()
     suite = unittest.TestSuite()
@@ -68,10 +71,10 @@
     return 0 if failed == 0 else 1
 
 
-def run_apart(lib: str) -> Counts:
-    """Run the tests of one library in a child process and print its output as one block."""
+def run_apart(lib: str, folder: str) -> Counts:
+    """Run a folder of tests in a child process and print its output as one block."""
     child = subprocess.run(
-        [sys.executable, __file__, "--library", lib],
+        [sys.executable, __file__, "--library", lib, folder],
         stdin=subprocess.DEVNULL,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
@@ -79,18 +82,24 @@
         errors="replace",
         check=False,
     )
-    print(f"== {lib}\n{child.stdout}", flush=True)
+    print(f"== {lib}/{folder}\n{child.stdout}", flush=True)
     closing = CLOSING.search(child.stdout)
     if closing is None:
         return Counts(failed=1)
     return Counts(*(int(number) for number in closing.groups()))
 
 
+def with_tests(libs: list[str], folder: str) -> list[str]:
+    """Return the libraries that have tests in the folder."""
+    return [lib for lib in libs if any((ROOT / lib / folder).glob("test_*.py"))]
+
+
 def main() -> int:
     """Run the suites; return 0 if all passed and at least one test ran."""
-    libs = [lib for lib in sys.argv[1:] if any((ROOT / lib / "tests").glob("test_*.py"))]
+    libs = sys.argv[1:]
     with ThreadPoolExecutor(PARALLEL) as pool:
-        counts = list(pool.map(run_apart, libs))
+        counts = list(pool.map(lambda lib: run_apart(lib, TESTS), with_tests(libs, TESTS)))
+    counts += [run_apart(lib, ALONE) for lib in with_tests(libs, ALONE)]
     passed = sum(one.passed for one in counts)
     failed = sum(one.failed for one in counts)
     skipped = sum(one.skipped for one in counts)
@@ -99,4 +108,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_library(sys.argv[2]) if sys.argv[1] == "--library" else main())
+    sys.exit(run_library(*sys.argv[2:]) if sys.argv[1] == "--library" else main())
