Bound what the connections of an instance hold together

Cause: eventlet's WSGI server keeps whatever its connections send: bodies are allocated whole, unread bodies and requests sent ahead are processed after their client has gone, and connections are bounded only at 2,000 a server. Change: `libs/admission` derives the limits of each server from the machine's memory and descriptors, grants places and bytes, and names the connections to close when there is no room: those that hold most and move least. The server of the adapter is now a loop of its own around h11 (a new library): one green thread for each connection, each byte granted before it is read, time limits on heads, bodies and answers, bounds on headers, requests sent ahead and the parts of a document. Callers, readiness and internal calls have separate bounds. Refusals are counted and logged once a second at most. `make crowds` plays the crowds at full size.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SECONDS ?= 60
 LIB ?=
 
-.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak replay backlog
+.PHONY: help setup test test-one lint format types schema demo demo-platform serve tool faults random-faults measure slopes soak replay backlog crowds
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*##' Makefile | sed -E 's/:.*## /\t/'
@@ -78,6 +78,9 @@
 backlog: setup  ## Measure planning passes and memory with many overdue occurrences, steps and jobs.
 	@$(PY) libs/coordinator/tests/backlog.py
 
+crowds: setup  ## Play crowds of misbehaving clients: make crowds [CONNECTIONS=400] [MEMORY_MB=160]
+	@$(PY) platform/tests/alone/play_crowds.py $(or $(CONNECTIONS),400) $(or $(MEMORY_MB),160)
+
 soak: setup  ## Run a soak test with faults on the emulated platform: make soak SECONDS=60 [SEED=n] [INSTANCES=n] [WORKERS=n] [NEWER=1] [CUTS=1]
 	$(PY) -m hornbeamfold.soak --seconds $(SECONDS) --logs target/soak $(if $(SEED),--seed $(SEED)) \
 	  $(if $(INSTANCES),--instances $(INSTANCES)) $(if $(WORKERS),--workers $(WORKERS)) \
--- a/libs/bench/tests/test_layout.py
+++ b/libs/bench/tests/test_layout.py
@@ -33,6 +33,7 @@
     "cli",
     "standins",
     "bench",
+    "admission",
     "batch",
     "ledger",
     "relay",
