Bound the requests of callers in progress

Cause: a request that asks the store holds a connection to it. At 160 MB and 4,100 descriptors, 400 connections with 24,000 requests each sent ahead took an instance to 812 sockets; 2,000 would take it over its descriptors. Change: a fifth of the sockets bounds the requests in progress; others wait in order.

--- a/libs/admission/src/hornbeamfold/admission/limits.py
+++ b/libs/admission/src/hornbeamfold/admission/limits.py
@@ -9,6 +9,9 @@
 # Share of the machine's memory that all connections may hold.
 CONNECTIONS_SHARE = 0.54
 MIN_CONNECTIONS_MB = 2
+# Share of the sockets that callers' requests in progress may take for connections to the store.
+REQUESTS_SHARE = 0.2
+MIN_REQUESTS = 8
 # A connection's green thread, its objects, and its unread bytes in the kernel.
 CONNECTION_BYTES = 20_480
 # The share of a server's memory that empty connections may take; the rest is for their requests.
@@ -56,6 +59,7 @@
 
     connections: int = 2_000  # of callers
     memory_mb: int = 0  # of all connections; 0: derived from the machine's memory
+    requests: int = 0  # of callers in progress; 0: derived from the machine's descriptors
     head_bytes: int = 24_576  # of a request line with its headers
     headers: int = 256  # of one request
     sent_ahead: int = 16  # requests that follow one another before their answers
@@ -73,6 +77,7 @@
     connections: int
     memory_bytes: int
     each: DoorLimits
+    requests: int = 64  # in progress at once; each may hold a connection to the store
 
 
 def server_limits(role: ServerRole, machine: MachineLimits, door: DoorLimits) -> ServerLimits:
@@ -83,7 +88,13 @@
         min(machine.memory_mb * CONNECTIONS_SHARE, machine.memory_mb - PROGRAM_MB),
     )
     memory_bytes = int(total_mb * MEGABYTE * share.memory)
-    sockets = max(0, machine.file_descriptors - FILES) * share.sockets
-    fitting = int(min(sockets, memory_bytes * EMPTY_CONNECTIONS_SHARE / CONNECTION_BYTES))
+    sockets = max(0, machine.file_descriptors - FILES)
+    fitting = int(
+        min(sockets * share.sockets, memory_bytes * EMPTY_CONNECTIONS_SHARE / CONNECTION_BYTES)
+    )
     connections = min(max(share.min_connections, fitting), door.connections)
-    return ServerLimits(connections, memory_bytes, door)
+    # Calls of the other servers need no connection.
+    requests = connections
+    if role == ServerRole.CALLERS:
+        requests = door.requests or max(MIN_REQUESTS, int(sockets * REQUESTS_SHARE))
+    return ServerLimits(connections, memory_bytes, door, requests)
--- a/libs/admission/tests/test_admission.py
+++ b/libs/admission/tests/test_admission.py
@@ -57,7 +57,8 @@
                     held = sum(limits.memory_bytes for limits in servers)
                     self.assertLessEqual(held + PROGRAM_MB * MEGABYTE, memory_mb * MEGABYTE)
                     connections = sum(limits.connections for limits in servers)
-                    self.assertLess(connections, file_descriptors - FILES)
+                    requests = servers[0].requests
+                    self.assertLess(connections + requests, file_descriptors - FILES)
 
     def test_a_tiny_machine_still_serves(self) -> None:
         for role in ServerRole:
