Preempt nothing for runs that may not exist

After a takeover workers that have not reported count as full for each limit, so guaranteed work stopped runs of its own organisation for what is mostly not there.

--- a/libs/coordinator/src/hornbeamfold/coordinator/limit_log.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/limit_log.py
@@ -57,6 +57,7 @@
         extra={
             "organisation": name,
             "used": astuple(use.used),
+            "uncertain": astuple(use.uncertain),
             "limit": astuple(use.limit),
             "configuration": version,
         },
--- a/libs/coordinator/src/hornbeamfold/coordinator/organisation_use.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/organisation_use.py
@@ -63,7 +63,7 @@
     if configuration is None:
         return {}
     return {
-        each.name: OrganisationUse(used_by(each.name) + uncertain, each.limit, each.weight)
+        each.name: OrganisationUse(used_by(each.name), each.limit, each.weight, uncertain)
         for each in configuration.organisations.values()
         if each.limit != NOTHING or each.weight is not None
     }
--- a/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
@@ -18,15 +18,22 @@
 
 @dataclass(frozen=True)
 class OrganisationUse:
-    """What the runs of an organisation may be using at the begin of a pass, and what they may use.
+    """What the runs of an organisation use at the begin of a pass, and what they may use.
 
     In `limit`, a resource that is 0 is not limited. `weight` is the organisation's share when all
-    is full, relative to others; None if it has none.
+    is full, relative to others; None if it has none. `uncertain` is what runs of it may use in
+    addition that are not known.
     """
 
     used: Resources = field(default_factory=Resources)
     limit: Resources = field(default_factory=Resources)
     weight: float | None = None
+    uncertain: Resources = field(default_factory=Resources)
+
+    @property
+    def most_used(self) -> Resources:
+        """The most that its runs may be using."""
+        return self.used + self.uncertain
 
 
 NO_ORGANISATIONS: Mapping[str, OrganisationUse] = {}
@@ -91,7 +98,7 @@
     use = organisations.get(step.job.organisation)
     needed = len(step.waiting) if step.step.gang else 1
     return use is None or (
-        tasks_within_limit(use.used, use.limit, step.step.demand, needed) == needed
+        tasks_within_limit(use.most_used, use.limit, step.step.demand, needed) == needed
     )
 
 
@@ -107,7 +114,8 @@
         self._limits = {
             name: each.limit for name, each in organisations.items() if each.limit != NOTHING
         }
-        self._used = {name: organisations[name].used for name in self._limits}
+        self._used = {name: organisations[name].most_used for name in self._limits}
+        self._uncertain = {name: organisations[name].uncertain for name in self._limits}
         self._placed_runs = placed_runs
         self._now_ms = now_ms
         self._holds: dict[str, _Hold] = {}
@@ -193,11 +201,12 @@
         """Return runs of a step's organisation to stop, so that the limit has room for the step.
 
         Returns none if those that are stopping are enough, or if more than `max_lost_work` would be
-        lost.
+        lost. Runs that may not exist are waited for, not compensated.
         """
         name = step.job.organisation
         promised = self._promised.get(name, NOTHING) + step.step.demand.times(len(step.waiting))
-        needed = self._used[name] + promised - runs.stopping_of(name)
+        known = self._used[name] - self._uncertain[name]
+        needed = known + promised - runs.stopping_of(name)
         missing = exceeding(needed, self._limits[name])
         victims: dict[PlacedRun, None] = {}
         lost_work = 0.0
--- a/libs/scheduling/tests/test_organisation_limits.py
+++ b/libs/scheduling/tests/test_organisation_limits.py
@@ -191,6 +191,14 @@
                 result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
                 self.assertEqual(len(result.preemptions), preempted)
 
+    def test_nothing_is_preempted_for_what_may_not_exist(self) -> None:
+        """Guards against throwing work away until all workers have reported after a takeover."""
+        runs = [placed_run("r", index, "w1", ONE, organisation=OWN) for index in range(4)]
+        urgent = ready("a", Step(1, ONE, 1_000), priority=0, entitled=True)
+        organisations = {OWN: OrganisationUse(only(4), only(6), None, only(8))}
+        result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
+        self.assertEqual((result.assignments, result.preemptions), ((), ()))
+
     def test_several_guaranteed_steps_preempt_at_once(self) -> None:
         """Guards against guaranteed jobs that wait for one another's preemptions in turn."""
         runs = [placed_run("r", index, "w1", ONE, organisation=OWN) for index in range(8)]
