Show in explain how fast the workers of a request were thought to be

Cause: a late gang is as slow as its slowest worker, and its own lines don't tell. Change: explain adds the last worker_speed_changed of each worker that the request's lines name. Result: tests of cli; the new one fails without the change.

--- a/libs/cli/src/hornbeamfold/cli/explain.py
+++ b/libs/cli/src/hornbeamfold/cli/explain.py
@@ -18,6 +18,8 @@
 CONTEXT_EVENTS = frozenset(
     {"term_began", "term_ended", "store_lost", "store_regained", "journal_held_up", "zones_out"}
 )
+# Events of a worker that hold until its next one.
+WORKER_EVENTS = frozenset({"worker_speed_changed"})
 
 
 @dataclass(frozen=True)
@@ -47,9 +49,13 @@
 
 
 def select_lines(request: str, documents: Iterable[Mapping[str, Any]]) -> list[LogLine]:
-    """Return the lines that name a request, and the context events that may explain a delay."""
+    """Return the lines that name a request, and the context events that may explain a delay.
+
+    Of each event of a worker that the request ran on, the last one is included.
+    """
     matching: list[LogLine] = []
     context: list[LogLine] = []
+    of_workers: list[LogLine] = []
     for document in documents:
         line = LogLine(
             str(document.get("time", "")),
@@ -64,11 +70,30 @@
             matching.append(line)
         elif line.event in CONTEXT_EVENTS:
             context.append(line)
+        elif line.event in WORKER_EVENTS:
+            of_workers.append(line)
     if not matching:
         return []
     first, last = min(line.time for line in matching), max(line.time for line in matching)
     context_in_range = [line for line in context if first <= line.time <= last]
-    return sorted([*matching, *context_in_range], key=lambda line: line.time)
+    workers = _workers(matching)
+    latest: dict[tuple[str, str], LogLine] = {}
+    for line in sorted(of_workers, key=lambda line: line.time):
+        worker = str(line.details.get("worker", ""))
+        if worker in workers and line.time <= last:
+            latest[line.event, worker] = line
+    return sorted([*matching, *context_in_range, *latest.values()], key=lambda line: line.time)
+
+
+def _workers(lines: Iterable[LogLine]) -> set[str]:
+    """Return the ids of the workers that are named in lines."""
+    found: set[str] = set()
+    for line in lines:
+        found.add(str(line.details.get("worker", "")))
+        workers = line.details.get("workers")
+        if isinstance(workers, list):
+            found.update(str(each) for each in workers)
+    return found - {""}
 
 
 def explain(
--- a/libs/cli/tests/test_explain.py
+++ b/libs/cli/tests/test_explain.py
@@ -26,6 +26,13 @@
         {"time": "10:00:03", "instance": "b", "event": "placed", "request": "r1", "waited_ms": 7},
         {"time": "10:00:03", "instance": "b", "event": "placed", "request": "r2"},
     ],
+    "c.log": [
+        {"time": "09:00:01", "event": "worker_speed_changed", "worker": "w1", "speed": 0.8},
+        {"time": "09:00:02", "event": "worker_speed_changed", "worker": "w1", "speed": 0.64},
+        {"time": "09:00:03", "event": "worker_speed_changed", "worker": "w2", "speed": 1.56},
+        {"time": "10:00:05", "event": "placed", "request": "r3", "workers": ["w1", "w3"]},
+        {"time": "10:00:06", "event": "worker_speed_changed", "worker": "w1", "speed": 1.0},
+    ],
 }
 # Lines that other programs may write to the same output.
 ODD_LINES = '{"odd":' + "[" * 100_000 + '\n{"odd":' + "9" * 5_000 + "}\n"
@@ -53,6 +60,11 @@
         result = CliRunner().invoke(app, ["explain", "r1", *self.arguments])
         self.assertIn("waited_ms=7", result.stdout)
 
+    def test_what_its_workers_were_thought_to_be_is_included(self) -> None:
+        result = CliRunner().invoke(app, ["--output", "json", "explain", "r3", *self.arguments])
+        speeds = [line["details"].get("speed") for line in json.loads(result.stdout)]
+        self.assertEqual(speeds, [0.64, None])
+
     def test_an_unknown_request(self) -> None:
         result = CliRunner().invoke(app, ["explain", "r9", *self.arguments])
         self.assertEqual(result.exit_code, 3)
