--- a/libs/estimates/tests/test_worker_speeds.py
+++ b/libs/estimates/tests/test_worker_speeds.py
@@ -29,8 +29,12 @@
         self._workers: dict[RunName, str] = {}
         self._rates = ProgressRates()
         self._siblings = SiblingDurations()
-        self.known = WorkerSpeeds()
-        self.changes = 0
+        self._known = WorkerSpeeds()
+
+    @property
+    def known(self) -> WorkerSpeeds:
+        """What is believed of the workers."""
+        return self._known
 
     def set_speed(self, worker_id: str, speed: float) -> None:
         """Change how fast a worker is."""
@@ -60,7 +64,7 @@
                     del self._workers[name]
                     continue
                 self._report(name, worker_id)
-            self.changes += len(self.known.update(self._now_ms) or ())
+            self._known.update(self._now_ms)
 
     def _report(self, name: RunName, worker_id: str) -> None:
         task = RunningTask(name, "", self._progress[name])
