Move the order of overdue steps to a module of its own

The queue order of plan() stays one sorted list, which other rules may rearrange before overdue steps come first. No decision changes; the tests of scheduling and coordinator pass.

--- a/libs/coordinator/tests/test_patient_work.py
+++ b/libs/coordinator/tests/test_patient_work.py
@@ -6,7 +6,7 @@
 from load_replay import EPOCH_MS, PASS_MS, Recording, replay
 
 from hornbeamfold.batch import BatchJob, Resources, Step
-from hornbeamfold.scheduling.plan import MAX_WAIT_WITHOUT_RUN_MS
+from hornbeamfold.scheduling.overdue import MAX_WAIT_WITHOUT_RUN_MS
 
 WORKERS = 4
 URGENT_MS = 1_900
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -22,6 +22,7 @@
     weighted_cores,
 )
 from hornbeamfold.scheduling.locality import candidate_groups
+from hornbeamfold.scheduling.overdue import overdue_first, overdue_steps
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import earliest_fit, reserve
 from hornbeamfold.scheduling.waits import explain_wait, stranded_accelerators
@@ -41,10 +42,6 @@
 LAST_CHANCE_LOST_WORK_FACTOR = 4.0
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
-# A job that has had no run for this long comes before all work without a guarantee, and keeps the
-# room that it waits for; of several, those that have waited the longest.
-MAX_WAIT_WITHOUT_RUN_MS = 30_000
-MAX_OVERDUE_STEPS = 2
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
@@ -87,22 +84,13 @@
     """
     run = _Pass(workers, placed_runs, now_ms, headroom, slowdown)
     run.claim(claims, steps)
-    overdue = _overdue_steps(steps, now_ms)
-    for step in sorted(
-        steps,
-        key=lambda each: (not each.entitled, each.key not in overdue, order_key(each, now_ms)),
-    ):
+    overdue = overdue_steps(steps, now_ms)
+    ordered = sorted(steps, key=lambda each: order_key(each, now_ms))
+    for step in overdue_first(ordered, overdue):
         run.place(step, step.key in overdue)
     return run.result()
 
 
-def _overdue_steps(steps: Sequence[ReadyStep], now_ms: int) -> set[tuple[str, int, int]]:
-    """Return the steps that have waited the longest, of jobs that have had no run for too long."""
-    overdue = [each for each in steps if each.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS]
-    overdue.sort(key=lambda each: (-each.idle_ms(now_ms), each.key))
-    return {each.key for each in overdue[:MAX_OVERDUE_STEPS]}
-
-
 class _Pass:
     """The state of one planning pass."""
 
--- a/libs/scheduling/tests/test_overdue.py
+++ b/libs/scheduling/tests/test_overdue.py
@@ -6,7 +6,7 @@
 
 from hornbeamfold.batch import Step
 from hornbeamfold.scheduling import Claim, plan
-from hornbeamfold.scheduling.plan import MAX_OVERDUE_STEPS, MAX_WAIT_WITHOUT_RUN_MS
+from hornbeamfold.scheduling.overdue import MAX_OVERDUE_STEPS, MAX_WAIT_WITHOUT_RUN_MS
 
 NOW = 100_000
 LONG_AGO = NOW - MAX_WAIT_WITHOUT_RUN_MS
