--- a/libs/coordinator/tests/test_planner_inputs.py
+++ b/libs/coordinator/tests/test_planner_inputs.py
@@ -36,7 +36,7 @@
     ready_steps,
 )
 from hornbeamfold.coordinator.session import Session
-from hornbeamfold.scheduling import Assignment, ReadyStep, plan
+from hornbeamfold.scheduling import Assignment, Preemption, ReadyStep, plan
 
 DEMAND = Resources(1_000, 1_000, 1)
 FIRST = TaskRef(0, 0, 0)
@@ -66,6 +66,23 @@
                 self.assertEqual([each.expired_ms for each in ready], [expired_ms])
 
 
+class PlacedRunsTest(unittest.TestCase):
+    def test_a_task_that_was_preempted_is_spared_and_loses_more_the_next_time(self) -> None:
+        """Guards against work that is preempted again and again, as it is always the cheapest."""
+        clock = ManualClock()
+        tracker = tracker_with(clock, job("a", Step(1, DEMAND, 9_000)))
+        placed_runs = PlacedRuns()
+        tracker.begin_runs("a", [FIRST], [worker()])
+        clock.move(2_000)
+        (first,) = placed_runs.current(tracker, clock())
+        placed_runs.record_preemptions([Preemption(first.name, first.worker_id, "urgent")])
+        tracker.end_run(first.name, RunEnd.STOPPED)
+        tracker.begin_runs("a", [FIRST], [worker()])
+        (second,) = placed_runs.current(tracker, clock())
+        self.assertEqual((first.spared, second.spared), (False, True))
+        self.assertGreater(second.lost_work, first.lost_work)
+
+
 class IsolationTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
