--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -28,6 +28,7 @@
     OrganisationLimits,
     OrganisationUse,
 )
+from hornbeamfold.scheduling.overdue import overdue_first, overdue_steps
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import earliest_fit, reserve
 from hornbeamfold.scheduling.shares import OrganisationShares
@@ -49,10 +50,6 @@
 LAST_CHANCE_LOST_WORK_FACTOR = 4.0
 # A step that would expire by taking this many times its estimate from now on has its last chance.
 LAST_CHANCE_FACTOR = 2.0
-# A job that has had no run for this long comes before all work without a guarantee, and keeps the
-# room that it waits for; of several, those that have waited the longest.
-MAX_WAIT_WITHOUT_RUN_MS = 30_000
-MAX_OVERDUE_STEPS = 2
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
@@ -105,13 +102,11 @@
     cluster = ClusterCapacity(workers, slowdown, now_ms, disturbance)
     run = _Pass(cluster, placed_runs, now_ms, headroom, limits, shares)
     run.claim(claims, steps)
-    overdue = _overdue_steps(steps, now_ms)
-    queue = sorted(
-        steps,
-        key=lambda each: (not each.entitled, each.key not in overdue, order_key(each, now_ms)),
-    )
+    overdue = overdue_steps(steps, now_ms)
+    ordered = overdue_first(sorted(steps, key=lambda each: order_key(each, now_ms)), overdue)
     others: list[ReadyStep] = []
-    for step in queue:
+    for step in ordered:
+        # Shares neither delay guaranteed work nor lengthen the bounded wait of overdue steps.
         if step.entitled or step.key in overdue:
             run.place(step, step.key in overdue)
             continue
@@ -121,13 +116,6 @@
     return run.result()
 
 
-def _overdue_steps(steps: Sequence[ReadyStep], now_ms: int) -> set[tuple[str, int, int]]:
-    """Return the steps that have waited the longest, of jobs that have had no run for too long."""
-    overdue = [each for each in steps if each.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS]
-    overdue.sort(key=lambda each: (-each.idle_ms(now_ms), each.key))
-    return {each.key for each in overdue[:MAX_OVERDUE_STEPS]}
-
-
 class _Pass:
     """The state of one planning pass."""
 
