Let guaranteed work use the room that overdue steps keep

Cause: the claims of overdue steps hold from one pass to the next, before the turn of guaranteed steps. Where a guaranteed step found room on claimed workers only, it could neither start nor preempt there until the overdue step had started, which is when the slowest run on those workers ends. Change: a guaranteed step that can make room nowhere else takes over claims of steps without a guarantee; those are restored if that does not help. Test: test_it_does_not_hold_up_guaranteed_work, which failed before with no preemption.

--- a/libs/scheduling/src/hornbeamfold/scheduling/claims.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/claims.py
@@ -26,9 +26,9 @@
         self._now_ms = now_ms
         self._held: dict[tuple[str, int, int], tuple[Reservation, ...]] = {}
         self._kept: list[Claim] = []
-        ready = {step.key: step for step in steps if not step.isolated}
+        self._ready = {step.key: step for step in steps if not step.isolated}
         for claim in claims:
-            step = ready.get(claim.step_key)
+            step = self._ready.get(claim.step_key)
             if step is None or not self._is_usable(step, claim.workers):
                 continue
             self._held[claim.step_key] = self._reserve(step, claim.workers)
@@ -47,6 +47,17 @@
             self._cluster.remove_reservation(reservation)
         return tuple(reservation.worker_id for reservation in held)
 
+    def release_without_guarantee(self) -> Sequence[Claim]:
+        """Release and return the claims of steps without a guarantee."""
+        steps = [self._ready[key] for key in self._held if not self._ready[key].entitled]
+        return [Claim(*step.key, self.take(step)) for step in steps]
+
+    def restore(self, claims: Iterable[Claim]) -> None:
+        """Hold the room of released claims again."""
+        for claim in claims:
+            step = self._ready[claim.step_key]
+            self._held[claim.step_key] = self._reserve(step, claim.workers)
+
     def add(self, step: ReadyStep, workers: Sequence[str], kept: bool = True) -> None:
         """Reserve room for the waiting tasks of a step on these workers, one for each task.
 
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -216,7 +216,9 @@
         if not chosen and len(self._waits) < MAX_EXPLAINED_WAITS:
             self._explain(explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms))
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
-        if self._make_room(unplaced, groups, claimed) or chosen:
+        if self._make_room(unplaced, groups, claimed) or self._take_over(unplaced, groups):
+            return
+        if chosen:
             return
         if overdue and not step.isolated:
             self._keep_room(step, groups, claimed)
@@ -268,6 +270,18 @@
         max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
         return self._reclaim(step, groups, max_lost_work)
 
+    def _take_over(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
+        """Make room for a guaranteed step where steps without a guarantee have claims."""
+        if step.isolated or not step.entitled:
+            return False
+        released = self._claimed.release_without_guarantee()
+        if not released:
+            return False
+        if self._make_room(step, groups, ()):
+            return True
+        self._claimed.restore(released)
+        return False
+
     def _reserve(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> None:
         """Reserve room for a blocked step, if it may have a reservation."""
         if not self._may_reserve(step):
--- a/libs/scheduling/tests/test_overdue.py
+++ b/libs/scheduling/tests/test_overdue.py
@@ -67,6 +67,18 @@
         second = plan([step, ready("urgent", WHOLE, 0)], workers, runs, NOW, claims=first.claims)
         self.assertEqual((second.assignments, second.claims), ((), first.claims))
 
+    def test_it_does_not_hold_up_guaranteed_work(self) -> None:
+        """Guards against a claim that guaranteed work can neither use nor preempt for."""
+        gang = Step(2, resources(4), estimate_ms=2_000, gang=True)
+        patient = ready("patient", gang, 2, idle_since_ms=LONG_AGO)
+        guaranteed = ready("guaranteed", WHOLE, 0, entitled=True, ready_ms=NOW - 1_000)
+        claim = Claim("patient", 0, 0, ("w1", "w1"))
+        runs = [placed_run("old", 0, "w1", CAPACITY, remaining_ms=60_000)]
+        workers = [candidate("w1", free=FULL)]
+        result = plan([patient, guaranteed], workers, runs, NOW, claims=(claim,))
+        self.assertEqual([each.name.job_id for each in result.preemptions], ["old"])
+        self.assertEqual(result.claims[0], Claim("guaranteed", 0, 0, ("w1",)))
+
 
 if __name__ == "__main__":
     unittest.main()
