Do not count steps at a limit among the overdue ones

Cause: of steps that have waited for too long, the two that have waited the longest come first. An organisation at its limit may have two that wait for hours, so that no step of others ever came first. Change: only steps that their organisation's limit lets start are counted. Test: test_steps_that_wait_for_their_limit_do_not_count, which failed before with the urgent step placed instead of the overdue one.

--- a/libs/scheduling/src/hornbeamfold/scheduling/overdue.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/overdue.py
@@ -1,6 +1,7 @@
 """Bounds how long patient work waits beside urgent work that does not cease."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable
+from itertools import islice
 
 from hornbeamfold.scheduling.inputs import ReadyStep
 
@@ -12,11 +13,17 @@
 StepKey = tuple[str, int, int]
 
 
-def overdue_steps(steps: Sequence[ReadyStep], now_ms: int) -> frozenset[StepKey]:
-    """Return the steps that have waited the longest, of jobs that have had no run for too long."""
+def overdue_steps(
+    steps: Iterable[ReadyStep], now_ms: int, can_start: Callable[[ReadyStep], bool]
+) -> frozenset[StepKey]:
+    """Return the steps that have waited the longest, of jobs that have had no run for too long.
+
+    Steps that cannot start whatever comes first are left out, so that they do not displace others.
+    """
     overdue = [each for each in steps if each.idle_ms(now_ms) >= MAX_WAIT_WITHOUT_RUN_MS]
     overdue.sort(key=lambda each: (-each.idle_ms(now_ms), each.key))
-    return frozenset(each.key for each in overdue[:MAX_OVERDUE_STEPS])
+    first = islice((each for each in overdue if can_start(each)), MAX_OVERDUE_STEPS)
+    return frozenset(each.key for each in first)
 
 
 def overdue_first(steps: Iterable[ReadyStep], overdue: Collection[StepKey]) -> list[ReadyStep]:
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -102,7 +102,7 @@
     cluster = ClusterCapacity(workers, slowdown, now_ms, disturbance)
     run = _Pass(cluster, placed_runs, now_ms, headroom, limits, shares)
     run.claim(claims, steps)
-    overdue = overdue_steps(steps, now_ms)
+    overdue = overdue_steps(steps, now_ms, lambda each: limits.startable(each) > 0)
     ordered = overdue_first(sorted(steps, key=lambda each: order_key(each, now_ms)), overdue)
     others: list[ReadyStep] = []
     for step in ordered:
--- a/libs/scheduling/tests/test_overdue.py
+++ b/libs/scheduling/tests/test_overdue.py
@@ -1,11 +1,12 @@
 """Tests for steps of jobs that have had no run for too long."""
 
 import unittest
+from dataclasses import replace
 
 from scheduling_cases import CAPACITY, candidate, placed_run, ready, resources
 
-from hornbeamfold.batch import Step
-from hornbeamfold.scheduling import Claim, plan
+from hornbeamfold.batch import Resources, Step
+from hornbeamfold.scheduling import Claim, OrganisationUse, plan
 from hornbeamfold.scheduling.overdue import MAX_OVERDUE_STEPS, MAX_WAIT_WITHOUT_RUN_MS
 
 NOW = 100_000
@@ -79,6 +80,26 @@
         self.assertEqual([each.name.job_id for each in result.preemptions], ["old"])
         self.assertEqual(result.claims[0], Claim("guaranteed", 0, 0, ("w1",)))
 
+    def test_steps_that_wait_for_their_limit_do_not_count(self) -> None:
+        """Guards against an organisation at its limit that keeps others from coming first."""
+        limited = [
+            ready(f"limited{number}", WHOLE, 2, idle_since_ms=0)
+            for number in range(MAX_OVERDUE_STEPS)
+        ]
+        patient = ready("patient", WHOLE, 2, idle_since_ms=LONG_AGO)
+        patient = replace(patient, job=replace(patient.job, organisation="other"))
+        urgent = ready("urgent", WHOLE, 0)
+        urgent = replace(urgent, job=replace(urgent.job, organisation="other"))
+        at_limit = OrganisationUse(resources(8), Resources(accelerators=8))
+        result = plan(
+            [*limited, patient, urgent],
+            [candidate("w1")],
+            [],
+            NOW,
+            organisations={limited[0].job.organisation: at_limit},
+        )
+        self.assertEqual([each.job_id for each in result.assignments], ["patient"])
+
 
 if __name__ == "__main__":
     unittest.main()
