Do not count steps that fit no worker among the overdue ones

Cause: as for steps at a limit, two steps that no worker could ever hold, or whose workers are gone, kept all others from coming first. Change: only steps are counted that would fit on the idle workers. Test: test_steps_that_fit_no_worker_do_not_count, which failed before with the urgent step placed instead of the overdue one.

--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -22,7 +22,7 @@
     no_slowdown,
     weighted_cores,
 )
-from hornbeamfold.scheduling.locality import candidate_groups
+from hornbeamfold.scheduling.locality import ALL_RACKS, candidate_groups
 from hornbeamfold.scheduling.organisation_limits import (
     NO_ORGANISATIONS,
     OrganisationLimits,
@@ -102,7 +102,9 @@
     cluster = ClusterCapacity(workers, slowdown, now_ms, disturbance)
     run = _Pass(cluster, placed_runs, now_ms, headroom, limits, shares)
     run.claim(claims, steps)
-    overdue = overdue_steps(steps, now_ms, lambda each: limits.startable(each) > 0)
+    overdue = overdue_steps(
+        steps, now_ms, lambda each: limits.startable(each) > 0 and _may_ever_fit(cluster, each)
+    )
     ordered = overdue_first(sorted(steps, key=lambda each: order_key(each, now_ms)), overdue)
     others: list[ReadyStep] = []
     for step in ordered:
@@ -351,6 +353,14 @@
         )
 
 
+def _may_ever_fit(cluster: ClusterCapacity, step: ReadyStep) -> bool:
+    """Return whether a task of a step, or its gang, fits on the workers if they are idle."""
+    needed = len(step.waiting) if step.step.gang else 1
+    if cluster.has_last_resorts(step.job.service):
+        return True
+    return cluster.task_capacity(step, ALL_RACKS) >= needed
+
+
 def _placement_reason(step: ReadyStep) -> str:
     if step.isolated:
         return "isolated"
--- a/libs/scheduling/tests/test_overdue.py
+++ b/libs/scheduling/tests/test_overdue.py
@@ -100,6 +100,17 @@
         )
         self.assertEqual([each.job_id for each in result.assignments], ["patient"])
 
+    def test_steps_that_fit_no_worker_do_not_count(self) -> None:
+        """Guards against tasks too large for the workers that are left, which hold up others."""
+        too_large = Step(1, resources(16), estimate_ms=2_000)
+        steps = [
+            ready(f"large{number}", too_large, 2, idle_since_ms=0)
+            for number in range(MAX_OVERDUE_STEPS)
+        ]
+        steps.append(ready("patient", WHOLE, 2, idle_since_ms=LONG_AGO))
+        result = plan([*steps, ready("urgent", WHOLE, 0)], [candidate("w1")], [], NOW)
+        self.assertEqual([each.job_id for each in result.assignments], ["patient"])
+
 
 if __name__ == "__main__":
     unittest.main()
