Count the runs of ended jobs as stopping at a limit

Cause: what an organisation uses includes the runs of its cancelled jobs until they have ended, but the planner got those runs without their organisation. At a limit it neither waited for them nor counted them as stopping, and preempted other runs of the organisation for what they were about to free. Change: the tracker tells the organisation of each active run. Test: test_a_run_of_an_ended_job_belongs_to_its_organisation, which failed before with an empty organisation.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -174,6 +174,10 @@
         """Return what the runs of an organisation use, those of ended jobs included."""
         return self._used.of(organisation)
 
+    def organisation_of(self, name: RunName) -> str:
+        """Return the organisation of an active run, also if its job has ended."""
+        return self._used.organisation_of(name)
+
     def add(self, job: BatchJob, progress: JobProgress) -> None:
         """Track a job and the active runs in its recorded progress."""
         if job.job_id in self._jobs or job.job_id in self._final_states:
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -263,7 +263,13 @@
                 known[name] = previous
                 continue
             lost_before = self._lost_before.get(name.job_id, {}).get(name.task, 0.0)
-            placed = _placed_run(run, tracker.jobs.get(name.job_id), now_ms, lost_before)
+            placed = _placed_run(
+                run,
+                tracker.jobs.get(name.job_id),
+                tracker.organisation_of(name),
+                now_ms,
+                lost_before,
+            )
             known[name] = (run, now_ms, placed)
         self._known = known
         return [placed for _, _, placed in known.values()]
@@ -277,11 +283,21 @@
                 lost[each.name.task] = known[2].lost_work
 
 
-def _placed_run(run: Run, tracked: TrackedJob | None, now_ms: int, lost_before: float) -> PlacedRun:
+def _placed_run(
+    run: Run, tracked: TrackedJob | None, organisation: str, now_ms: int, lost_before: float
+) -> PlacedRun:
     if tracked is None:
         # The job has ended, so its runs are being stopped.
         return PlacedRun(
-            run.name, run.worker_id, run.reserved, 0, True, MIN_REMAINING_MS, 0.0, stopping=True
+            run.name,
+            run.worker_id,
+            run.reserved,
+            0,
+            True,
+            MIN_REMAINING_MS,
+            0.0,
+            stopping=True,
+            organisation=organisation,
         )
     step = tracked.job.steps[run.name.task.step]
     elapsed_ms = now_ms - run.begun_ms
@@ -299,6 +315,6 @@
         lost_before + weighted_cores(step.demand) * (1_000 + lost_ms) / 1_000,
         gang,
         bool(run.stop_reason),
-        tracked.job.organisation,
+        organisation,
         lost_before > 0,
     )
--- a/libs/coordinator/tests/test_planner_inputs.py
+++ b/libs/coordinator/tests/test_planner_inputs.py
@@ -82,6 +82,16 @@
         self.assertEqual((first.spared, second.spared), (False, True))
         self.assertGreater(second.lost_work, first.lost_work)
 
+    def test_a_run_of_an_ended_job_belongs_to_its_organisation(self) -> None:
+        """Guards against preempting others at a limit while a cancelled job's runs are stopping."""
+        clock = ManualClock()
+        tracker = tracker_with(clock, job("a", Step(1, DEMAND, 9_000)))
+        organisation = tracker.jobs["a"].job.organisation
+        tracker.begin_runs("a", [FIRST], [worker()])
+        tracker.cancel("a")
+        (placed,) = PlacedRuns().current(tracker, clock())
+        self.assertEqual((placed.organisation, placed.stopping), (organisation, True))
+
 
 class IsolationTest(unittest.TestCase):
     def setUp(self) -> None:
