Spare runs that were preempted before also at a limit

Cause: only guaranteed work may preempt a run whose task was preempted before. That was so for room on workers, but not for room in a limit. Change: both ask the same filter. Test: test_urgent_work_without_a_guarantee_leaves_spared_runs_at_its_limit, which failed before with one preemption.

--- a/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
@@ -210,7 +210,7 @@
         missing = exceeding(needed, self._limits[name])
         victims: dict[PlacedRun, None] = {}
         lost_work = 0.0
-        for run in runs.of_organisation(name, step.job.priority):
+        for run in runs.in_organisation(step):
             if missing == NOTHING:
                 break
             if run in victims or not _frees(run, missing):
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -60,8 +60,11 @@
         return self._stopping_resources.get(worker_id)
 
     def on_worker(self, worker_id: str, step: ReadyStep) -> Iterable[PlacedRun]:
-        """Yield the runs that may be preempted for a step, cheapest first."""
-        for run in self._by_worker.get(worker_id, ()):
+        """Yield the runs on a worker that may be preempted for a step, cheapest first."""
+        return self._preemptible_for(step, self._by_worker.get(worker_id, ()))
+
+    def _preemptible_for(self, step: ReadyStep, runs: Iterable[PlacedRun]) -> Iterable[PlacedRun]:
+        for run in runs:
             if run.spared and not step.entitled:
                 continue
             if run.priority > step.job.priority and run not in self._victims:
@@ -71,11 +74,9 @@
         """Return what the stopping runs of an organisation will free."""
         return self._stopping_of.get(organisation, Resources())
 
-    def of_organisation(self, organisation: str, priority: int) -> Iterable[PlacedRun]:
-        """Yield an organisation's runs that may be preempted for a job of this priority."""
-        for run in self._by_organisation.get(organisation, ()):
-            if run.priority > priority and run not in self._victims:
-                yield run
+    def in_organisation(self, step: ReadyStep) -> Iterable[PlacedRun]:
+        """Yield the runs of a step's organisation that may be preempted for it, cheapest first."""
+        return self._preemptible_for(step, self._by_organisation.get(step.job.organisation, ()))
 
     def gang_members(self, run: PlacedRun) -> Iterable[PlacedRun]:
         """Return the runs that end with a run; a gang goes on only as a whole."""
--- a/libs/scheduling/tests/test_organisation_limits.py
+++ b/libs/scheduling/tests/test_organisation_limits.py
@@ -236,6 +236,16 @@
                 result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
                 self.assertEqual(len(result.preemptions), preempted)
 
+    def test_urgent_work_without_a_guarantee_leaves_spared_runs_at_its_limit(self) -> None:
+        """Guards against runs that are preempted again and again, as on workers."""
+        organisations = {OWN: use(only(1), only(1))}
+        run = placed_run("r", 0, "w1", ONE, organisation=OWN, lost_work=1.0, spared=True)
+        for entitled, preempted in ((False, 0), (True, 1)):
+            with self.subTest(entitled=entitled):
+                urgent = ready("a", Step(1, ONE, 10_000), priority=0, entitled=entitled)
+                result = plan([urgent], [candidate("w1")], [run], 0, organisations=organisations)
+                self.assertEqual(len(result.preemptions), preempted)
+
     def test_a_gang_is_preempted_as_a_whole(self) -> None:
         gang = ("g", 0, 0)
         runs = [
