Count what best-effort runs use at a limit, not what they reserve

Cause: best-effort tasks reserve no CPU time on workers, but count in full towards a limit. The planner subtracted what they reserve for runs that end or are stopped, so at a limit of CPU time that such runs fill, guaranteed work of the organisation never preempted and kept no part of the limit. Change: placed runs tell what they use of the limit. Test: test_best_effort_runs_free_what_they_count_for, which failed before with no preemption.

--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -174,9 +174,9 @@
         """Return what the runs of an organisation use, those of ended jobs included."""
         return self._used.of(organisation)
 
-    def organisation_of(self, name: RunName) -> str:
-        """Return the organisation of an active run, also if its job has ended."""
-        return self._used.organisation_of(name)
+    def limit_use(self, name: RunName) -> tuple[str, Resources]:
+        """Return the organisation of an active run and what the run uses of its limit."""
+        return self._used.counted(name)
 
     def add(self, job: BatchJob, progress: JobProgress) -> None:
         """Track a job and the active runs in its recorded progress."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/organisation_use.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/organisation_use.py
@@ -25,9 +25,9 @@
         organisation, demand = self._runs.pop(name)
         self._used[organisation] = self.of(organisation) - demand
 
-    def organisation_of(self, name: RunName) -> str:
-        """Return the organisation of a run that is counted."""
-        return self._runs[name][0]
+    def counted(self, name: RunName) -> tuple[str, Resources]:
+        """Return the organisation of a run that is counted, and what it uses."""
+        return self._runs[name]
 
     def of(self, organisation: str) -> Resources:
         """Return what the runs of an organisation use."""
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -8,7 +8,7 @@
 from itertools import islice
 from math import inf
 
-from hornbeamfold.batch import BatchJob, Bounds, OperatorState, RunName, Step, TaskRef
+from hornbeamfold.batch import BatchJob, Bounds, OperatorState, Resources, RunName, Step, TaskRef
 from hornbeamfold.coordinator.health import WorkerHealth
 from hornbeamfold.coordinator.job_rotation import JobRotation
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
@@ -266,7 +266,7 @@
             placed = _placed_run(
                 run,
                 tracker.jobs.get(name.job_id),
-                tracker.organisation_of(name),
+                tracker.limit_use(name),
                 now_ms,
                 lost_before,
             )
@@ -284,8 +284,13 @@
 
 
 def _placed_run(
-    run: Run, tracked: TrackedJob | None, organisation: str, now_ms: int, lost_before: float
+    run: Run,
+    tracked: TrackedJob | None,
+    limit_use: tuple[str, Resources],
+    now_ms: int,
+    lost_before: float,
 ) -> PlacedRun:
+    organisation, used = limit_use
     if tracked is None:
         # The job has ended, so its runs are being stopped.
         return PlacedRun(
@@ -298,6 +303,7 @@
             0.0,
             stopping=True,
             organisation=organisation,
+            limit_use=used,
         )
     step = tracked.job.steps[run.name.task.step]
     elapsed_ms = now_ms - run.begun_ms
@@ -317,4 +323,5 @@
         bool(run.stop_reason),
         organisation,
         lost_before > 0,
+        used,
     )
--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -113,7 +113,8 @@
     A `protected` run is never preempted. `lost_work` is the work that preemption would discard, in
     core-seconds, where an accelerator counts as 8 cores. `gang` is the job, occurrence and step if
     the tasks of the step are gang-scheduled. A `stopping` run already has a stop order. Only
-    guaranteed work preempts a `spared` run.
+    guaranteed work preempts a `spared` run. `limit_use` is what counts towards the limit of its
+    organisation, if that is more than what is reserved.
     """
 
     name: RunName
@@ -127,6 +128,12 @@
     stopping: bool = False
     organisation: str = ""
     spared: bool = False
+    limit_use: Resources | None = None
+
+    @property
+    def used(self) -> Resources:
+        """What the run uses of the limit of its organisation."""
+        return self.reserved if self.limit_use is None else self.limit_use
 
 
 @dataclass(frozen=True)
--- a/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
@@ -58,9 +58,9 @@
 def _frees(run: PlacedRun, missing: Resources) -> bool:
     """Return whether the end of a run frees anything of what is missing."""
     return bool(
-        (missing.cpu_millis and run.reserved.cpu_millis)
-        or (missing.memory_mb and run.reserved.memory_mb)
-        or (missing.accelerators and run.reserved.accelerators)
+        (missing.cpu_millis and run.used.cpu_millis)
+        or (missing.memory_mb and run.used.memory_mb)
+        or (missing.accelerators and run.used.accelerators)
     )
 
 
@@ -184,7 +184,7 @@
             end_ms = self._now_ms + run.remaining_ms
             if within_limit(used, limit) and end_ms > start_ms:
                 break
-            used = used - run.reserved
+            used = used - run.used
             start_ms = end_ms
         if not within_limit(used, limit):
             return None
@@ -218,7 +218,7 @@
             for member in runs.gang_members(run):
                 victims[member] = None
                 lost_work += member.lost_work
-                missing = _above_zero(missing - member.reserved)
+                missing = _above_zero(missing - member.used)
         if missing != NOTHING or lost_work > max_lost_work:
             return ()
         self._promised[name] = promised
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -47,7 +47,7 @@
     def _add_stopping(self, run: PlacedRun) -> None:
         before = self._stopping_resources.get(run.worker_id, Resources())
         self._stopping_resources[run.worker_id] = before + run.reserved
-        self._stopping_of[run.organisation] = self.stopping_of(run.organisation) + run.reserved
+        self._stopping_of[run.organisation] = self.stopping_of(run.organisation) + run.used
 
     def mark_stopping(self, runs: Iterable[PlacedRun]) -> None:
         """Record that this pass preempts these runs."""
@@ -71,7 +71,7 @@
                 yield run
 
     def stopping_of(self, organisation: str) -> Resources:
-        """Return what the stopping runs of an organisation will free."""
+        """Return what the stopping runs of an organisation will free of its limit."""
         return self._stopping_of.get(organisation, Resources())
 
     def in_organisation(self, step: ReadyStep) -> Iterable[PlacedRun]:
--- a/libs/scheduling/tests/test_organisation_limits.py
+++ b/libs/scheduling/tests/test_organisation_limits.py
@@ -246,6 +246,20 @@
                 result = plan([urgent], [candidate("w1")], [run], 0, organisations=organisations)
                 self.assertEqual(len(result.preemptions), preempted)
 
+    def test_best_effort_runs_free_what_they_count_for(self) -> None:
+        """Guards against a limit of CPU time full of runs that reserve none, which stay there."""
+        demand = Resources(4_000, 1_000)
+        run = placed_run(
+            "r", 0, "w1", Resources(0, 1_000), organisation=OWN, priority=2, limit_use=demand
+        )
+        urgent = ready("a", Step(1, demand, 1_000), priority=0, entitled=True)
+        organisations = {OWN: use(Resources(4_000), demand)}
+        for stopping, preempted in ((False, 1), (True, 0)):
+            with self.subTest(stopping=stopping):
+                runs = [replace(run, stopping=stopping)]
+                result = plan([urgent], [candidate("w1")], runs, 0, organisations=organisations)
+                self.assertEqual(len(result.preemptions), preempted)
+
     def test_a_gang_is_preempted_as_a_whole(self) -> None:
         gang = ("g", 0, 0)
         runs = [
