Sum up uncertain use only for starts of limited organisations

Cause: each attempt to send a start order, and the check of each gang member before, summed up what workers without a full report may run, over all workers, also in deployments without limits. Change: an organisation without a limit is within it. Test: test_a_start_without_a_limit_asks_for_no_sum_over_all_workers, which failed before with one sum for one start.

--- a/libs/coordinator/src/hornbeamfold/coordinator/organisation_use.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/organisation_use.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from hornbeamfold.batch import Configuration, Resources, RunName, Worker, within_limit
+from hornbeamfold.batch import Configuration, Resources, RunName, Worker
 from hornbeamfold.scheduling import OrganisationUse
 
 NOTHING = Resources()
@@ -73,11 +73,7 @@
     }
 
 
-def is_within_limit(
-    configuration: Configuration | None,
-    organisation: str,
-    used: Resources,
-) -> bool:
-    """Return whether what an organisation may have running is within its limit."""
+def limit_of(configuration: Configuration | None, organisation: str) -> Resources:
+    """Return what an organisation may have running; a resource that is 0 is not limited."""
     found = None if configuration is None else configuration.organisations.get(organisation)
-    return found is None or within_limit(used, found.limit)
+    return NOTHING if found is None else found.limit
--- a/libs/coordinator/src/hornbeamfold/coordinator/starts.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/starts.py
@@ -4,9 +4,18 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import astuple, dataclass
 
-from hornbeamfold.batch import Clock, OperatorState, Resources, RunEnd, RunName, TaskRef, Worker
+from hornbeamfold.batch import (
+    Clock,
+    OperatorState,
+    Resources,
+    RunEnd,
+    RunName,
+    TaskRef,
+    Worker,
+    within_limit,
+)
 from hornbeamfold.coordinator.job_tracker import JobTracker, Run
-from hornbeamfold.coordinator.organisation_use import NOTHING, is_within_limit
+from hornbeamfold.coordinator.organisation_use import NOTHING, limit_of
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.scheduling import Assignment
 from hornbeamfold.telemetry import get_logger
@@ -164,9 +173,12 @@
     def _is_within_limit(self, run: Run) -> bool:
         """Return whether all that a run's organisation may have running is within its limit."""
         organisation = self._deps.tracker.jobs[run.name.job_id].job.organisation
-        used = self._deps.tracker.used_by(organisation) + self._deps.uncertain_use()
         configuration = self._deps.operator().configuration
-        if is_within_limit(configuration, organisation, used):
+        limit = limit_of(configuration, organisation)
+        if limit == NOTHING:
+            return True
+        used = self._deps.tracker.used_by(organisation) + self._deps.uncertain_use()
+        if within_limit(used, limit):
             return True
         logger.info(
             "start_beyond_limit",
--- a/libs/coordinator/tests/test_organisation_use.py
+++ b/libs/coordinator/tests/test_organisation_use.py
@@ -106,6 +106,34 @@
                 )
                 self.assertEqual(starter.may_start(self.runs[0], worker()), expected)
 
+    def test_a_start_without_a_limit_asks_for_no_sum_over_all_workers(self) -> None:
+        """Guards against orders that each cost as much as a pass over the workers.
+
+        Load: hundreds of starts a second on hundreds of workers, without limits.
+        """
+        calls: list[None] = []
+
+        def uncertain_use() -> Resources:
+            calls.append(None)
+            return NOTHING
+
+        operator = OperatorState(Configuration(1, organisations={OWN: Organisation(OWN)}))
+        starter = RunStarter(
+            StartDependencies(
+                self.tracker,
+                {},
+                lambda: operator,
+                lambda: {"w1": worker()},
+                lambda callback: None,
+                lambda: True,
+                lambda name, end: None,
+                lambda: 0,
+                uncertain_use=uncertain_use,
+            )
+        )
+        self.assertTrue(starter.may_start(self.runs[0], worker()))
+        self.assertEqual(calls, [])
+
     def test_only_organisations_with_limits_or_weights_are_planned_by(self) -> None:
         """Guards against other plans where the configuration has neither."""
         plain = Organisation("plain", guaranteed=Resources(accelerators=8))
