Forget the durations of tasks of steps that are done

Cause: the projected durations of tasks were kept until their job ended, so a scheduled job with many occurrences added entries for each, all of which were gone through each second. Change: only steps with tasks that are not done are kept. Test: test_steps_that_are_done_are_forgotten, which failed before with a duration still known. The test of ended jobs now checks both answers.

--- a/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/run_speeds.py
@@ -82,7 +82,7 @@
         if changes is None:
             return
         self._rates.retain(self._tracker.runs)
-        self._siblings.retain(self._tracker.jobs)
+        self._siblings.retain(self._is_open)
         for change in changes[:MAX_LOGGED_CHANGES]:
             _log_change(change)
         if changes:
@@ -93,6 +93,11 @@
                 extra={"changed": len(changes), "unusual": len(self._speeds.slowdowns)},
             )
 
+    def _is_open(self, job_id: str, occurrence: int, step: int) -> bool:
+        """Return whether a step of a job that has not ended has tasks that are not done."""
+        tracked = self._tracker.jobs.get(job_id)
+        return tracked is not None and not tracked.is_step_done(occurrence, step)
+
     def slowdown(self) -> Slowdown:
         """Return how many times as long as usual tasks take on each worker, as believed now.
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/tracked.py
@@ -195,6 +195,10 @@
                 if offered_tasks >= MAX_OFFERED_TASKS:
                     break
 
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Return whether all tasks of a step are done."""
+        return self._steps.is_done(occurrence, step)
+
     def ready_since(self, occurrence: int, step: int, now_ms: int) -> int:
         """Return when the step became ready; the first call sets it to `now_ms`."""
         return self._ready_ms.setdefault((occurrence, step), now_ms)
--- a/libs/coordinator/tests/test_run_speeds.py
+++ b/libs/coordinator/tests/test_run_speeds.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Mapping
 from dataclasses import replace
+from unittest import mock
 
 from coordinator_cases import ManualClock, job, tracker_with, worker
 
@@ -11,13 +12,16 @@
     BatchJob,
     JobProgress,
     Resources,
+    RunEnd,
     RunName,
     RunningTask,
     Step,
     TaskRef,
     Worker,
 )
+from hornbeamfold.coordinator import run_speeds
 from hornbeamfold.coordinator.run_speeds import RECORD_MS, RunSpeeds
+from hornbeamfold.estimates import SiblingDurations
 from hornbeamfold.ledger.codec import decode_speeds
 from hornbeamfold.scheduling import CandidateWorker, ReadyStep, no_slowdown
 
@@ -46,13 +50,14 @@
         step: Step = STEP,
         speeds: Mapping[str, float] | None = None,
         slow_worker: Mapping[str, object] | None = None,
+        other_steps: tuple[Step, ...] = (),
     ) -> RunSpeeds:
         """Return what is learned from 3 s of a job of which each worker runs some tasks.
 
         The worker `SLOW` is four times as slow as usual, unless `speeds` say otherwise.
         """
         speeds = {SLOW: 0.25} if speeds is None else speeds
-        tracker = self.tracker = tracker_with(self.clock, job("a", step))
+        tracker = self.tracker = tracker_with(self.clock, job("a", step, *other_steps))
         learned = RunSpeeds(tracker, self.clock)
         workers = [worker(f"w{index}") for index in range(WORKERS)]
         workers[0] = replace(workers[0], **(slow_worker or {}))  # type: ignore[arg-type]
@@ -166,6 +171,20 @@
         self.clock.move(RECORD_MS)
         self.assertEqual(learned.changed_records(), ())
 
+    def test_steps_that_are_done_are_forgotten(self) -> None:
+        """Guards against memory that grows with each occurrence of a scheduled job."""
+        siblings = SiblingDurations()
+        with mock.patch.object(run_speeds, "SiblingDurations", lambda: siblings):
+            learned = self.learned(other_steps=(STEP,))
+        name = RunName("a", TaskRef(0, 0, 0), 1)
+        self.assertIsNotNone(siblings.log_usual_ms(name, SLOW, lambda _: 0.0))
+        for run in tuple(self.tracker.runs):
+            self.tracker.end_run(run, RunEnd.DONE)
+        self.clock.move(1_000)
+        learned.update()
+        self.assertIn("a", self.tracker.jobs)
+        self.assertIsNone(siblings.log_usual_ms(name, SLOW, lambda _: 0.0))
+
     def test_reports_of_runs_that_are_not_known_are_ignored(self) -> None:
         learned = RunSpeeds(tracker_with(self.clock), self.clock)
         each: Worker = worker()
--- a/libs/estimates/src/hornbeamfold/estimates/sibling_durations.py
+++ b/libs/estimates/src/hornbeamfold/estimates/sibling_durations.py
@@ -1,6 +1,6 @@
 """How long the tasks of a step take on the workers that run them."""
 
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from dataclasses import dataclass
 from math import log
 from statistics import median
@@ -57,8 +57,8 @@
             return None
         return median(each.log_ms + log_speed(each.worker_id) for each in others)
 
-    def retain(self, jobs: Container[str]) -> None:
-        """Forget the steps of all jobs but these."""
+    def retain(self, is_open: Callable[[str, int, int], bool]) -> None:
+        """Forget all steps but the open ones, each given by a job, an occurrence and an index."""
         for key in tuple(self._by_step):
-            if key[0] not in jobs:
+            if not is_open(*key):
                 del self._by_step[key]
--- a/libs/estimates/tests/test_worker_speeds.py
+++ b/libs/estimates/tests/test_worker_speeds.py
@@ -196,12 +196,14 @@
         corrected = siblings.log_usual_ms(name, "w1", lambda _: log(2))
         self.assertAlmostEqual(corrected or 0.0, log(20_000))
 
-    def test_ended_jobs_are_forgotten(self) -> None:
+    def test_steps_that_are_not_open_are_forgotten(self) -> None:
         siblings = SiblingDurations()
         for index in range(3):
             siblings.add(run_name("a", index), f"w{2 + index}", 10_000.0)
         self.assertIsNotNone(siblings.log_usual_ms(run_name("a"), "w1", lambda _: 0.0))
-        siblings.retain({"b"})
+        siblings.retain(lambda job_id, occurrence, step: (job_id, occurrence, step) == ("a", 0, 0))
+        self.assertIsNotNone(siblings.log_usual_ms(run_name("a"), "w1", lambda _: 0.0))
+        siblings.retain(lambda job_id, occurrence, step: False)
         self.assertIsNone(siblings.log_usual_ms(run_name("a"), "w1", lambda _: 0.0))
 
 
