Look for the store again after an unexpected error

Cause: after an append without an answer, an instance refuses all calls until a read of its own is answered. An exception in that read ended the thread, so that it refused them for ever. Change: the thread goes on after an exception, as other long-lived ones. Test: test_an_unexpected_error_does_not_end_the_search_for_the_store, which failed before with a store still suspected.

--- a/libs/gateway/src/hornbeamfold/gateway/store_access.py
+++ b/libs/gateway/src/hornbeamfold/gateway/store_access.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from hornbeamfold.batch import AppendOutcome, Clock, Fenced, ReadFailed, Rejected, Stored, TopicPort
-from hornbeamfold.telemetry import get_logger, log_exceptions
+from hornbeamfold.telemetry import get_logger, keep_running
 
 logger = get_logger("hornbeamfold.gateway.store_access")
 
@@ -61,7 +61,7 @@
             logger.warning("store_suspected", extra={"outcome": str(outcome)})
             if not self._probing:
                 self._probing = True
-                self._spawn(log_exceptions(self._probe))
+                self._spawn(keep_running(self._probe))
 
     def _clear(self) -> None:
         if self._suspected_since_ms is None:
@@ -72,6 +72,7 @@
 
     def _probe(self) -> None:
         """Read until the store answers."""
+        self._probing = True
         try:
             while self.suspected:
                 if not isinstance(self._topic.read(self._end_offset(), 0), ReadFailed):
--- a/libs/gateway/tests/test_store_access.py
+++ b/libs/gateway/tests/test_store_access.py
@@ -1,5 +1,6 @@
 """Tests of calls on an instance that the store does not answer while others reach it."""
 
+import logging
 import unittest
 from collections.abc import Callable
 from contextlib import suppress
@@ -57,7 +58,7 @@
         )
         store = TopicPort(
             self.append,
-            lambda *_: Records((), 0, 0, self.now) if self.reachable else ReadFailed("silent"),
+            lambda *arguments: self.read(*arguments),
             lambda _: NewestPage((), False, 0, self.now),
         )
         self.follower = Follower("jobs", relay, self.replica.apply, lambda: self.now, lambda: 0, 0)
@@ -69,6 +70,9 @@
         sleeps.start()
         self.addCleanup(sleeps.stop)
 
+    def read(self, *_: object) -> Records | ReadFailed:
+        return Records((), 0, 0, self.now) if self.reachable else ReadFailed("silent")
+
     def sleep(self, seconds: float) -> None:
         self.now += int(seconds * 1_000)
 
@@ -99,6 +103,24 @@
         self.assertEqual(second.effective_ran, ExecutionStatus.NOT_RUN)
         self.assertEqual((self.now, self.appends), (began_ms, appends))
 
+    def test_an_unexpected_error_does_not_end_the_search_for_the_store(self) -> None:
+        """Guards against an instance that refuses all calls until it is restarted."""
+        self.submit("a")
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        answers = iter((ValueError("odd answer"), Records((), 0, 0, self.now)))
+
+        def read(*_: object) -> Records:
+            answer = next(answers)
+            if isinstance(answer, ValueError):
+                raise answer
+            return answer
+
+        self.read = read  # type: ignore[method-assign]
+        with suppress(ValueError), mock.patch("hornbeamfold.telemetry.threads.sleep"):
+            self.probes.pop(0)()
+        self.assertEqual(self.calls.store_suspected_ms, 0)
+
     def test_callers_return_at_once_if_others_reach_the_store(self) -> None:
         """Guards against urgent callers who lose a second before they ask another instance."""
         self.submit("a")
