Forget pace orders to runs that have ended

Cause: an order without an answer may be carried out late, which is remembered with its run. If the run ended before its next report, that stayed for the rest of the term. Change: each new one drops those of runs that have ended. Test: test_runs_that_have_ended_are_forgotten, which failed before with the ended run still known.

--- a/libs/coordinator/src/hornbeamfold/coordinator/pacing.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pacing.py
@@ -158,10 +158,15 @@
             return
         if isinstance(outcome, NoAnswer):
             pending = replace(pending, until_ms=self._clock() + LATE_ORDER_MS)
+            self._forget_ended_runs()
         if self._clock() < pending.until_ms:
             self._pending[name] = pending
         self._tracker.set_pace(name, percent if isinstance(outcome, Accepted) else None)
 
+    def _forget_ended_runs(self) -> None:
+        for name in [each for each in self._pending if each not in self._tracker.runs]:
+            del self._pending[name]
+
     def _reason_to_stop(self, name: RunName, step: Step, state: PaceState) -> str:
         """Return why a best-effort run should move, or an empty string."""
         run = self._tracker.runs[name]
--- a/libs/coordinator/tests/test_interference.py
+++ b/libs/coordinator/tests/test_interference.py
@@ -266,6 +266,17 @@
         self.assertGreaterEqual(repeated * REPORT_MS, LATE_ORDER_MS - REPORT_MS)
         self.assertLess(repeated, reports)
 
+    def test_runs_that_have_ended_are_forgotten(self) -> None:
+        """Guards against memory that grows with each lost order."""
+        self.orders.outcome = NoAnswer("lost")
+        self.report("w1", {"site": 300})
+        self.tracker.end_run(self.fill, RunEnd.STOPPED)
+        self.clock.move(LATE_ORDER_MS)
+        self.start("next", FILL, "w1")
+        self.report("w1", {"site": 300})
+        pending = self.interference._pacing._pending
+        self.assertEqual([name.job_id for name in pending], ["next"])
+
     def test_one_order_at_a_time(self) -> None:
         """Guards against two orders to one run, of which the older may arrive last."""
         self.orders.hold_back = True
