Look at most once a second for what a kind was kept apart from

Cause: while a step whose kind has findings is placed and not kept apart from anything, each pass went through the runs of all workers for its log line, for up to four steps. Change: a kind that was not kept apart is looked at again after a second. Test: test_what_is_not_kept_apart_is_not_looked_for_in_each_pass, which failed before with as many look-ups in the second pass as in the first.

--- a/libs/coordinator/src/hornbeamfold/coordinator/interference.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/interference.py
@@ -30,8 +30,10 @@
 _found = counter("hornbeamfold_disturbances_found", "Pairs of kinds found to disturb each other.")
 _kept_apart = counter("hornbeamfold_steps_kept_apart", "Steps placed away from what disturbs them.")
 
-# A kind that was kept apart is logged again after this time.
+# A kind that was kept apart is logged again after this time, and one that was not is looked at
+# again.
 LOG_GAP_MS = 10_000
+EXAMINE_GAP_MS = 1_000
 # The steps of one pass of which it is found out whether they were kept apart.
 MAX_EXPLAINED_STEPS = 4
 # The kinds of steps that are remembered, so that each is made once.
@@ -62,7 +64,8 @@
         self._kinds: dict[tuple[str, int], WorkKind] = {}
         # The birth of each worker's incarnation and the time on its clock of its last report.
         self._reported: dict[str, tuple[int, int]] = {}
-        self._logged_ms: dict[WorkKind, int] = {}
+        # Until when the placement of each kind is not explained again.
+        self._explained_until_ms: dict[WorkKind, int] = {}
         self._met: set[WorkKind] = set()
         self._loads_seen = False
 
@@ -213,17 +216,18 @@
             if step is None or explained >= MAX_EXPLAINED_STEPS:
                 continue
             kind = self._kind(step.job, step.step_index)
-            logged_ms = self._logged_ms.get(kind)
-            if not self._learner.is_involved(kind):
-                continue
-            if logged_ms is not None and now - logged_ms < LOG_GAP_MS:
+            if not self._learner.is_involved(kind) or now < self._explained_until_ms.get(kind, now):
                 continue
             explained += 1
-            self._log_if_kept_apart(step, kind, assignment.worker_id, workers)
+            if len(self._explained_until_ms) >= MAX_KNOWN_KINDS:
+                self._explained_until_ms.clear()
+            logged = self._log_if_kept_apart(step, kind, assignment.worker_id, workers)
+            self._explained_until_ms[kind] = now + (LOG_GAP_MS if logged else EXAMINE_GAP_MS)
 
     def _log_if_kept_apart(
         self, step: ReadyStep, kind: WorkKind, chosen: str, workers: Sequence[CandidateWorker]
-    ) -> None:
+    ) -> bool:
+        """Log that a step was kept apart from what would disturb it more; return whether it was."""
         usual = expected_factor(self._learner.effect, kind, self._residents(chosen))
         avoided: list[tuple[float, str]] = []
         for worker in workers:
@@ -234,11 +238,8 @@
             if factor > usual:
                 avoided.append((factor, worker.worker_id))
         if not avoided:
-            return
+            return False
         factor, worst = max(avoided)
-        if len(self._logged_ms) >= MAX_KNOWN_KINDS:
-            self._logged_ms.clear()
-        self._logged_ms[kind] = self._deps.clock()
         _kept_apart(1)
         logger.info(
             "kept_apart",
@@ -254,6 +255,7 @@
                 "workers_passed_over": len(avoided),
             },
         )
+        return True
 
     def _disturbing(self, kind: WorkKind, worker_id: str) -> list[str]:
         """Return the kinds on a worker that disturb a kind or are disturbed by it."""
--- a/libs/coordinator/tests/test_interference.py
+++ b/libs/coordinator/tests/test_interference.py
@@ -196,6 +196,21 @@
         self.assertEqual(len(lines), 1)
         self.assertEqual((lines[0].worker, lines[0].kept_from), ("w2", "w1"))
 
+    def test_what_is_not_kept_apart_is_not_looked_for_in_each_pass(self) -> None:
+        """Guards against passes that go through the runs of all workers for a line in the log.
+
+        Load: a kind with findings of which steps are placed in every pass.
+        """
+        self.learn()
+        with mock.patch.object(
+            self.interference, "_residents", wraps=self.interference._residents
+        ) as residents:
+            self.place(FRAME, "w1", "w2")
+            calls = residents.call_count
+            self.place(FRAME, "w1", "w2")
+            # The second pass asks for what its slowdowns need only.
+            self.assertLess(residents.call_count - calls, calls)
+
     def test_a_finding_is_logged(self) -> None:
         with self.assertLogs("hornbeamfold.coordinator.interference") as logs:
             self.learn()
