--- a/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/inputs.py
@@ -49,7 +49,6 @@
     organisation. `placed_on` counts the step's active tasks by worker, and `avoid` lists workers on
     which these tasks should not start again. Each task of an `isolated` step gets a worker without
     other runs; only members of one gang may share workers. `any_worker` allows last resorts.
-    `learned_ms` is the duration of a task that earlier ones suggest, on a worker of usual speed.
     `beyond_owed` jobs are beyond the rate at which their organisation is owed service.
     """
 
@@ -66,7 +65,6 @@
     avoid: frozenset[str] = frozenset()
     isolated: bool = False
     any_worker: bool = False
-    learned_ms: int | None = None
     beyond_owed: bool = False
 
     @property
@@ -76,8 +74,8 @@
 
     @property
     def expected_ms(self) -> int:
-        """The expected duration of a task: the learned one, or else the caller's estimate."""
-        return self.step.estimate_ms if self.learned_ms is None else self.learned_ms
+        """The expected duration of a task on a worker of usual speed: the caller's estimate."""
+        return self.step.estimate_ms
 
     @property
     def key(self) -> tuple[str, int, int]:
@@ -158,9 +156,10 @@
 
 @dataclass(frozen=True)
 class Claim:
-    """Room on workers that runs were stopped for, so that the waiting tasks of a step start there.
+    """Room on workers that is kept so that the waiting tasks of a step start there.
 
-    `workers` has one entry for each task.
+    Runs were stopped for it, or the step is overdue and waits until they end. `workers` has one
+    entry for each task.
     """
 
     job_id: str
