--- a/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/job_tracker.py
@@ -174,6 +174,10 @@
         """Return what the runs of an organisation use, those of ended jobs included."""
         return self._used.of(organisation)
 
+    def limit_use(self, name: RunName) -> tuple[str, Resources]:
+        """Return the organisation of an active run and what the run uses of its limit."""
+        return self._used.counted(name)
+
     def add(self, job: BatchJob, progress: JobProgress) -> None:
         """Track a job and the active runs in its recorded progress."""
         if job.job_id in self._jobs or job.job_id in self._final_states:
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -22,7 +22,7 @@
     no_slowdown,
     weighted_cores,
 )
-from hornbeamfold.scheduling.locality import candidate_groups
+from hornbeamfold.scheduling.locality import ALL_RACKS, candidate_groups
 from hornbeamfold.scheduling.organisation_limits import (
     NO_ORGANISATIONS,
     OrganisationLimits,
@@ -102,7 +102,9 @@
     cluster = ClusterCapacity(workers, slowdown, now_ms, disturbance)
     run = _Pass(cluster, placed_runs, now_ms, headroom, limits, shares)
     run.claim(claims, steps)
-    overdue = overdue_steps(steps, now_ms)
+    overdue = overdue_steps(
+        steps, now_ms, lambda each: limits.startable(each) > 0 and _may_ever_fit(cluster, each)
+    )
     ordered = overdue_first(sorted(steps, key=lambda each: order_key(each, now_ms)), overdue)
     others: list[ReadyStep] = []
     for step in ordered:
@@ -216,7 +218,9 @@
         if not chosen and len(self._waits) < MAX_EXPLAINED_WAITS:
             self._explain(explain_wait(self._cluster, step, headroom, max_tasks, self._now_ms))
         unplaced = replace(step, waiting=step.waiting[len(chosen) :])
-        if self._make_room(unplaced, groups, claimed) or chosen:
+        if self._make_room(unplaced, groups, claimed) or self._take_over(unplaced, groups):
+            return
+        if chosen:
             return
         if overdue and not step.isolated:
             self._keep_room(step, groups, claimed)
@@ -268,6 +272,18 @@
         max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
         return self._reclaim(step, groups, max_lost_work)
 
+    def _take_over(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
+        """Make room for a guaranteed step where steps without a guarantee have claims."""
+        if step.isolated or not step.entitled:
+            return False
+        released = self._claimed.release_without_guarantee()
+        if not released:
+            return False
+        if self._make_room(step, groups, ()):
+            return True
+        self._claimed.restore(released)
+        return False
+
     def _reserve(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> None:
         """Reserve room for a blocked step, if it may have a reservation."""
         if not self._may_reserve(step):
@@ -337,6 +353,14 @@
         )
 
 
+def _may_ever_fit(cluster: ClusterCapacity, step: ReadyStep) -> bool:
+    """Return whether a task of a step, or its gang, fits on the workers if they are idle."""
+    needed = len(step.waiting) if step.step.gang else 1
+    if cluster.has_last_resorts(step.job.service):
+        return True
+    return cluster.task_capacity(step, ALL_RACKS) >= needed
+
+
 def _placement_reason(step: ReadyStep) -> str:
     if step.isolated:
         return "isolated"
--- a/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/reclaim.py
@@ -47,7 +47,7 @@
     def _add_stopping(self, run: PlacedRun) -> None:
         before = self._stopping_resources.get(run.worker_id, Resources())
         self._stopping_resources[run.worker_id] = before + run.reserved
-        self._stopping_of[run.organisation] = self.stopping_of(run.organisation) + run.reserved
+        self._stopping_of[run.organisation] = self.stopping_of(run.organisation) + run.used
 
     def mark_stopping(self, runs: Iterable[PlacedRun]) -> None:
         """Record that this pass preempts these runs."""
@@ -60,22 +60,23 @@
         return self._stopping_resources.get(worker_id)
 
     def on_worker(self, worker_id: str, step: ReadyStep) -> Iterable[PlacedRun]:
-        """Yield the runs that may be preempted for a step, cheapest first."""
-        for run in self._by_worker.get(worker_id, ()):
+        """Yield the runs on a worker that may be preempted for a step, cheapest first."""
+        return self._preemptible_for(step, self._by_worker.get(worker_id, ()))
+
+    def _preemptible_for(self, step: ReadyStep, runs: Iterable[PlacedRun]) -> Iterable[PlacedRun]:
+        for run in runs:
             if run.spared and not step.entitled:
                 continue
             if run.priority > step.job.priority and run not in self._victims:
                 yield run
 
     def stopping_of(self, organisation: str) -> Resources:
-        """Return what the stopping runs of an organisation will free."""
+        """Return what the stopping runs of an organisation will free of its limit."""
         return self._stopping_of.get(organisation, Resources())
 
-    def of_organisation(self, organisation: str, priority: int) -> Iterable[PlacedRun]:
-        """Yield an organisation's runs that may be preempted for a job of this priority."""
-        for run in self._by_organisation.get(organisation, ()):
-            if run.priority > priority and run not in self._victims:
-                yield run
+    def in_organisation(self, step: ReadyStep) -> Iterable[PlacedRun]:
+        """Yield the runs of a step's organisation that may be preempted for it, cheapest first."""
+        return self._preemptible_for(step, self._by_organisation.get(step.job.organisation, ()))
 
     def gang_members(self, run: PlacedRun) -> Iterable[PlacedRun]:
         """Return the runs that end with a run; a gang goes on only as a whole."""
