Grant nothing at any time, so that idle connections aren't refused

An answer that is larger than a server's memory is granted if nothing else is held. Until it was sent, each connection that began to wait for a request, and so held no bytes, got a 503 that nobody had asked for, or others were closed for it. The test failed before.

--- a/libs/admission/src/hornbeamfold/admission/occupancy.py
+++ b/libs/admission/src/hornbeamfold/admission/occupancy.py
@@ -86,7 +86,7 @@
 
         The first content of all fits in any case, so that large answers are possible.
         """
-        if not self._fits(count) and not self._is_empty:
+        if count > 0 and not self._fits(count) and not self._is_empty:
             return False
         self._add(number, count)
         return True
--- a/libs/admission/tests/test_admission.py
+++ b/libs/admission/tests/test_admission.py
@@ -128,6 +128,12 @@
         self.assertFalse(self.occupancy.reserve(second, 1))
         self.assertIsNone(self.occupancy.enter())
 
+    def test_nothing_always_fits(self) -> None:
+        """Guards against idle connections that are refused while an answer holds all memory."""
+        first, second = self.enter(), self.enter()
+        self.assertTrue(self.occupancy.reserve(first, 10 * CONNECTION_BYTES))
+        self.assertTrue(self.occupancy.reserve(second, 0))
+
     def test_room_that_is_about_to_be_free_closes_nobody_else(self) -> None:
         """Guards against several new requests that each close connections for the same room."""
         for _ in range(4):
