Run no request on a connection that is being closed for room

The thread of a connection that was chosen to be closed may still find the rest of a request, as the kernel delivers what had arrived before. The request then ran, a job could be stored, and the answer could not be sent.

--- a/libs/admission/src/hornbeamfold/admission/occupancy.py
+++ b/libs/admission/src/hornbeamfold/admission/occupancy.py
@@ -61,13 +61,15 @@
             self._closing_bytes -= holding.held_bytes
             self._closing -= 1
 
-    def begin(self, number: int, phase: Phase) -> None:
-        """Set what a connection waits for, unless it is being closed."""
+    def begin(self, number: int, phase: Phase) -> bool:
+        """Set what a connection waits for; return False if it is being closed."""
         holding = self._holdings[number]
-        if holding.phase in (phase, Phase.CLOSING):
-            return
-        now_ms = self._clock()
-        self._holdings[number] = Holding(number, phase, now_ms, now_ms, 0, holding.held_bytes)
+        if holding.phase == Phase.CLOSING:
+            return False
+        if holding.phase != phase:
+            now_ms = self._clock()
+            self._holdings[number] = Holding(number, phase, now_ms, now_ms, 0, holding.held_bytes)
+        return True
 
     def moved(self, number: int, count: int) -> None:
         """Record that a connection has received or sent some bytes."""
--- a/libs/admission/tests/test_admission.py
+++ b/libs/admission/tests/test_admission.py
@@ -150,7 +150,7 @@
         number = self.enter()
         self.now_ms = 2 * GRACE_MS
         self.occupancy.victims(0, 4)
-        self.occupancy.begin(number, Phase.WORK)
+        self.assertFalse(self.occupancy.begin(number, Phase.WORK))
         self.assertEqual(self.occupancy.holding(number).phase, Phase.CLOSING)
         self.occupancy.leave(number)
         self.assertEqual((self.occupancy.connections, self.occupancy.held_bytes), (0, 0))
