--- a/libs/admission/tests/test_admission.py
+++ b/libs/admission/tests/test_admission.py
@@ -128,6 +128,12 @@
         self.assertFalse(self.occupancy.reserve(second, 1))
         self.assertIsNone(self.occupancy.enter())
 
+    def test_nothing_always_fits(self) -> None:
+        """Guards against idle connections that are refused while an answer holds all memory."""
+        first, second = self.enter(), self.enter()
+        self.assertTrue(self.occupancy.reserve(first, 10 * CONNECTION_BYTES))
+        self.assertTrue(self.occupancy.reserve(second, 0))
+
     def test_room_that_is_about_to_be_free_closes_nobody_else(self) -> None:
         """Guards against several new requests that each close connections for the same room."""
         for _ in range(4):
@@ -144,7 +150,7 @@
         number = self.enter()
         self.now_ms = 2 * GRACE_MS
         self.occupancy.victims(0, 4)
-        self.occupancy.begin(number, Phase.WORK)
+        self.assertFalse(self.occupancy.begin(number, Phase.WORK))
         self.assertEqual(self.occupancy.holding(number).phase, Phase.CLOSING)
         self.occupancy.leave(number)
         self.assertEqual((self.occupancy.connections, self.occupancy.held_bytes), (0, 0))
