Keep what runs were stopped for at a limit from short work

Change: once runs are stopped for a step, its part of the limit is kept from now on, and not from when runs would have ended by themselves. Result: test_short_work_does_not_take_what_runs_were_stopped_for, which failed before; the 122 tests of scheduling pass.

--- a/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/organisation_limits.py
@@ -5,7 +5,7 @@
 for others.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from hornbeamfold.batch import Resources, within_limit
@@ -222,4 +222,24 @@
         if missing != NOTHING or lost_work > max_lost_work:
             return ()
         self._promised[name] = promised
+        self._holds[name] = _Hold(
+            self._now_ms, self._used_after_stops(name, promised, runs, victims)
+        )
         return tuple(victims)
+
+    def _used_after_stops(
+        self,
+        name: str,
+        promised: Resources,
+        runs: PreemptibleRuns,
+        victims: Iterable[PlacedRun],
+    ) -> Resources:
+        """Return what is used once all stops have ended and what they were for has started.
+
+        Other work may not use what the stops free, however short it is: it would have to be stopped
+        in turn.
+        """
+        used = self._used[name] + promised - runs.stopping_of(name)
+        for run in victims:
+            used = used - run.used
+        return used
--- a/libs/scheduling/tests/test_organisation_limits.py
+++ b/libs/scheduling/tests/test_organisation_limits.py
@@ -218,6 +218,20 @@
         )
         self.assertEqual([started(result, each) for each in "abcd"], [2, 2, 0, 0])
 
+    def test_short_work_does_not_take_what_runs_were_stopped_for(self) -> None:
+        """Guards against runs that are stopped, begin again beside it, and are stopped again."""
+        urgent = ready("a", Step(4, ONE, 1_000, gang=True), priority=0, entitled=True)
+        patient = ready("d", Step(3, ONE, 2_000))
+        running = [
+            placed_run("r", index, "w1", ONE, 60_000, organisation=OWN, stopping=index == 0)
+            for index in range(5)
+        ]
+        # Three of the four runs that were stopped for the gang have ended.
+        organisations = {OWN: use(only(8), only(5))}
+        workers = [candidate("w1"), candidate("w2")]
+        result = plan([urgent, patient], workers, running, 0, organisations=organisations)
+        self.assertEqual((result.assignments, result.preemptions), ((), ()))
+
     def test_patient_work_preempts_nothing_at_its_limit(self) -> None:
         runs = [placed_run("r", 0, "w1", ONE, organisation=OWN, priority=2)]
         organisations = {OWN: use(only(1), only(1))}
