Offer the jobs for which room is kept in every pass

Cause: with more than 1,000 ready steps, passes offer the jobs in turns. A claim was dropped whenever its job's turn was another time, so that others started there and an overdue or guaranteed gang began to wait anew. Change: the jobs with claims come first. Test: test_jobs_for_which_room_is_kept_are_offered_by_every_pass, which failed before with the job in none of the passes.

--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -92,6 +92,7 @@
             len(candidates),
             self._rotation,
             self._deps.owed,
+            dict.fromkeys(each.job_id for each in self._claims),
         )
         self._log_limited_offers(len(steps))
         uses = organisation_uses(operator.configuration, tracker.used_by, uncertain_use)
--- a/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/planner_inputs.py
@@ -5,7 +5,7 @@
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, replace
 from heapq import nsmallest
-from itertools import islice
+from itertools import chain, islice
 from math import inf
 
 from hornbeamfold.batch import BatchJob, Bounds, OperatorState, Resources, RunName, Step, TaskRef
@@ -89,11 +89,13 @@
     worker_count: int,
     rotation: JobRotation | None = None,
     owed: OwedRates | None = None,
+    claiming: Collection[str] = (),
 ) -> list[ReadyStep]:
     """Return steps with tasks that may start now, as many as one pass may place.
 
     With a `rotation`, the jobs that are left out are offered by the next passes. `owed` has the
-    jobs by which organisations are beyond what they are owed.
+    jobs by which organisations are beyond what they are owed. The jobs in `claiming`, for which
+    room is kept, are offered by every pass.
     """
     organisations = operator.configuration.organisations if operator.configuration else {}
     rates = owed or OwedRates()
@@ -105,7 +107,9 @@
         lambda job: rates.beyond_owed(job, organisations),
     )
     found: list[ReadyStep] = []
-    turns = (rotation or JobRotation()).in_turns(tracker.jobs)
+    kept = [tracker.jobs[each] for each in claiming if each in tracker.jobs]
+    in_turns = (rotation or JobRotation()).in_turns(tracker.jobs)
+    turns = chain(kept, (each for each in in_turns if each.job.job_id not in claiming))
     unfinished: deque[tuple[TrackedJob, Iterator[StartableStep]]] = deque()
     while len(found) < MAX_OFFERED_STEPS:
         tracked = next(turns, None)
--- a/libs/coordinator/tests/test_backlog.py
+++ b/libs/coordinator/tests/test_backlog.py
@@ -3,6 +3,7 @@
 import time
 import tracemalloc
 import unittest
+from collections.abc import Collection
 from dataclasses import replace
 
 from backlog import (
@@ -61,7 +62,7 @@
         for job in jobs:
             self.tracker.add(job, JobProgress())
 
-    def offered(self, unix_ms: int = UNIX_MS) -> list[ReadyStep]:
+    def offered(self, unix_ms: int = UNIX_MS, claiming: Collection[str] = ()) -> list[ReadyStep]:
         """Return what the next pass offers."""
         self.clock.move(PASS_MS)
         return ready_steps(
@@ -72,6 +73,7 @@
             Bounds(),
             WORKERS,
             self.rotation,
+            claiming=claiming,
         )
 
     def passes_until_started(self, job_id: str) -> int:
@@ -130,6 +132,15 @@
                 passes = self.passes_until_started("runnable")
                 self.assertLess(passes * PASS_MS, MAX_IDLE_WAIT_MS)
 
+    def test_jobs_for_which_room_is_kept_are_offered_by_every_pass(self) -> None:
+        """Guards against room that is lost to others whenever its job's turn is another time."""
+        (patient,) = backlog_jobs(Backlog("a job that waits", 1, 1, label=""))
+        self.add(*backlog_jobs(Backlog("5,000 jobs", 5_000, 1)))
+        self.add(replace(patient, job_id="patient"))
+        for _ in range(5):
+            offered = [each.job.job_id for each in self.offered(claiming={"patient", "ended"})]
+            self.assertEqual(offered.count("patient"), 1)
+
     def test_steps_that_cannot_run_keep_no_others_of_their_job_out(self) -> None:
         (wide,) = backlog_jobs(Backlog("5,000 steps", 1, 1, steps=5_000))
         wide = replace(wide, steps=(*wide.steps, Step(1, TASK, 500)))
