--- a/libs/coordinator/src/hornbeamfold/coordinator/health.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/health.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field, replace
 
 from hornbeamfold.batch import Clock
-from hornbeamfold.scheduling import CandidateWorker, ReadyStep, Slowdown, no_slowdown
 from hornbeamfold.telemetry import counter, get_logger
 
 logger = get_logger("hornbeamfold.coordinator.health")
@@ -15,11 +14,6 @@
 # The duration of the first exclusion, which doubles with each further one up to the maximum.
 EXCLUSION_MS = 4_000
 MAX_EXCLUSION_MS = 16_000
-# A worker on which the last run failed is suspected for this long, so that other workers are tried
-# first. One member on a worker that fails everything ends its whole gang.
-SUSPICION_MS = 8_000
-# How many times as long as usual a task is expected to take there, as it may have to run again.
-SUSPECT_SLOWDOWN = 2.0
 # A worker that refuses a task is not asked again in every pass, not even as a last resort.
 REFUSAL_PAUSE_MS = 1_000
 
@@ -30,7 +24,6 @@
     excluded_until_ms: int = 0
     exclusions: int = 0
     refused_ms: int | None = None
-    failed_ms: int | None = None
 
 
 class WorkerHealth:
@@ -58,22 +51,6 @@
         now = self._clock()
         return sum(now < record.excluded_until_ms for record in self._records.values())
 
-    def slowdown(self) -> Slowdown:
-        """Return how many times as long as usual tasks take on suspected workers."""
-        since_ms = self._clock() - SUSPICION_MS
-        suspects = {
-            worker_id
-            for worker_id, record in self._records.items()
-            if record.failed_ms is not None and record.failed_ms > since_ms
-        }
-        if not suspects:
-            return no_slowdown
-
-        def slowdown(step: ReadyStep, worker: CandidateWorker) -> float:
-            return SUSPECT_SLOWDOWN if worker.worker_id in suspects else 1.0
-
-        return slowdown
-
     def succeeded(self, worker_id: str) -> None:
         """Record that a run on the worker succeeded."""
         self._records.pop(worker_id, None)
@@ -82,7 +59,7 @@
         """Record that a run of a job failed on the worker."""
         record = self._records.get(worker_id, _FailureRecord())
         jobs = record.failed_jobs | {job_id}
-        self._records[worker_id] = replace(record, failed_jobs=jobs, failed_ms=self._clock())
+        self._records[worker_id] = replace(record, failed_jobs=jobs)
         if len(jobs) >= FAILED_JOBS_BEFORE_EXCLUSION:
             self.exclude(worker_id, "failures")
 
--- a/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
+++ b/libs/coordinator/src/hornbeamfold/coordinator/pass_planner.py
@@ -21,7 +21,7 @@
 from hornbeamfold.coordinator.run_speeds import RunSpeeds
 from hornbeamfold.coordinator.session import Session
 from hornbeamfold.coordinator.wait_log import WaitLog
-from hornbeamfold.scheduling import Claim, Plan, can_start_any, plan, product
+from hornbeamfold.scheduling import Claim, Plan, can_start_any, plan
 from hornbeamfold.telemetry import get_logger, histogram
 
 logger = get_logger("hornbeamfold.coordinator.pass_planner")
@@ -113,7 +113,7 @@
             began,
             headroom,
             self._deps.speeds.slowdown(),
-            product((interference.slowdown(), health.slowdown())),
+            interference.slowdown(),
             organisations=uses,
             claims=self._claims,
         )
