Split the planning pass: how urgent a step is, and where its tasks go

Change: urgency.py has the order of the queue and what a step may do to start; placing.py chooses workers. The fakes of the state machine of limits are classes, as they have state. No logic changes.

--- a/libs/coordinator/tests/test_organisation_limits.py
+++ b/libs/coordinator/tests/test_organisation_limits.py
@@ -6,7 +6,7 @@
 """
 
 import unittest
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from itertools import cycle, islice
 
 from coordinator_cases import ManualClock, job, worker
@@ -50,27 +50,27 @@
 LIMITS = st.sampled_from([2, 4, 8, 12])
 
 
-@dataclass
 class FakeWorker:
     """A worker: what really runs on it, and which orders it refuses."""
 
-    running: dict[RunName, Resources] = field(default_factory=dict)
-    ended: set[RunName] = field(default_factory=set)
-    strays: set[RunName] = field(default_factory=set)
-    token: int = 0
-    born_ms: int = 1
-    lease_end_ms: int = 0
-    cut_off: bool = False
+    def __init__(self, born_ms: int = 1, lease_end_ms: int = 0, cut_off: bool = False) -> None:
+        self.running: dict[RunName, Resources] = {}
+        self.ended: set[RunName] = set()
+        self.strays: set[RunName] = set()
+        self.token = 0
+        self.born_ms = born_ms
+        self.lease_end_ms = lease_end_ms
+        self.cut_off = cut_off
 
 
-@dataclass
 class FakeSession:
     """What the coordinator of a term knows of a worker."""
 
-    worker: Worker
-    lease_until_ms: int
-    has_reported: bool = False
-    has_unknown_runs: bool = False
+    def __init__(self, worker: Worker, lease_until_ms: int) -> None:
+        self.worker = worker
+        self.lease_until_ms = lease_until_ms
+        self.has_reported = False
+        self.has_unknown_runs = False
 
     @property
     def unknown_runs_until_ms(self) -> int:
--- a/libs/scheduling/src/hornbeamfold/scheduling/plan.py
+++ b/libs/scheduling/src/hornbeamfold/scheduling/plan.py
@@ -5,7 +5,6 @@
 from functools import cached_property
 from math import inf
 
-from hornbeamfold.batch import Resources
 from hornbeamfold.scheduling.claims import ClaimedRoom
 from hornbeamfold.scheduling.cluster import ClusterCapacity, WorkerGroup, pack
 from hornbeamfold.scheduling.idle_jobs import MAX_IDLE_MS, IdleJobPlacement
@@ -20,64 +19,35 @@
     Slowdown,
     Wait,
     no_slowdown,
-    weighted_cores,
 )
-from hornbeamfold.scheduling.locality import ALL_RACKS, candidate_groups
+from hornbeamfold.scheduling.locality import candidate_groups
 from hornbeamfold.scheduling.organisation_limits import (
     NO_ORGANISATIONS,
     OrganisationLimits,
     OrganisationUse,
 )
 from hornbeamfold.scheduling.overdue import overdue_first, overdue_steps
+from hornbeamfold.scheduling.placing import may_ever_fit, place_tasks, tasks_beside_headroom
 from hornbeamfold.scheduling.reclaim import PreemptibleRuns, reclaim
 from hornbeamfold.scheduling.reserve import earliest_fit, reserve
 from hornbeamfold.scheduling.shares import OrganisationShares
+from hornbeamfold.scheduling.urgency import (
+    may_preempt,
+    order_key,
+    preemption_budget,
+    wait_before_preemption_ms,
+)
 from hornbeamfold.scheduling.waits import explain_limit, explain_wait, stranded_accelerators
-from hornbeamfold.scheduling.worker_choice import Reluctance
 
 # The maximum number of blocked steps with reserved capacity. With one, every large gang further
 # back would overtake a large gang near the head of the queue; with many, most of the capacity would
 # be reserved and idle.
 MAX_RESERVATIONS = 2
-# A step that would miss its objective by taking this many times its estimate from now on ignores
-# the headroom for urgent work.
-RISK_FACTOR = 1.5
-# Guaranteed work must start within seconds, and stopping runs takes part of that time.
-MAX_WAIT_BEFORE_PREEMPTION_MS = 700
-# Urgent work without a guarantee preempts runs that lose less than this multiple of its own work:
-# little for a start that is somewhat earlier, and more when the end would be of no use otherwise.
-MAX_LOST_WORK_FACTOR = 0.5
-LAST_CHANCE_LOST_WORK_FACTOR = 4.0
-# A step that would expire by taking this many times its estimate from now on has its last chance.
-LAST_CHANCE_FACTOR = 2.0
 # The waits that one pass explains, the first in the queue; an explanation costs as much as placing.
 MAX_EXPLAINED_WAITS = 10
 NO_HEADROOM: Mapping[str, int] = {}
 
 
-def order_key(
-    step: ReadyStep, now_ms: int
-) -> tuple[bool, bool, int, bool, bool, int, str, int, int]:
-    """Return the queue sort key: guaranteed work first, then by priority, then by objective.
-
-    Steps that can't end in time to be of use come after all that can. Within a priority, jobs
-    beyond what their organisation is owed come last, and steps that can't meet their objective come
-    after those that can.
-    """
-    earliest_end_ms = now_ms + step.expected_ms
-    return (
-        not step.entitled,
-        earliest_end_ms > step.expired_ms,
-        step.job.priority,
-        step.beyond_owed,
-        earliest_end_ms > step.due_ms,
-        step.due_ms,
-        step.job.job_id,
-        step.occurrence,
-        step.step_index,
-    )
-
-
 def plan(
     steps: Sequence[ReadyStep],
     workers: Sequence[CandidateWorker],
@@ -103,7 +73,7 @@
     run = _Pass(cluster, placed_runs, now_ms, headroom, limits, shares)
     run.claim(claims, steps)
     overdue = overdue_steps(
-        steps, now_ms, lambda each: limits.startable(each) > 0 and _may_ever_fit(cluster, each)
+        steps, now_ms, lambda each: limits.startable(each) > 0 and may_ever_fit(cluster, each)
     )
     ordered = overdue_first(sorted(steps, key=lambda each: order_key(each, now_ms)), overdue)
     others: list[ReadyStep] = []
@@ -185,13 +155,15 @@
 
     def _wait_for_limit(self, step: ReadyStep) -> None:
         """Keep a part of its organisation's limit for a step, and preempt for it, if it may."""
-        preempts = step.entitled or _may_preempt(step, self._now_ms)
+        preempts = step.entitled or may_preempt(step, self._now_ms)
         start_ms = self._limits.hold(step, preempts)
         if not preempts:
             return
-        if start_ms is not None and start_ms <= self._now_ms + _max_wait_ms(step, self._now_ms):
+        if start_ms is not None and start_ms <= self._now_ms + wait_before_preemption_ms(
+            step, self._now_ms
+        ):
             return
-        max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
+        max_lost_work = preemption_budget(step, self._now_ms)
         victims = self._limits.runs_to_preempt(step, self._preemptible_runs, max_lost_work)
         self._preempt(step, victims, "limit")
 
@@ -200,10 +172,10 @@
         claimed = self._claimed.take(step)
         groups = candidate_groups(self._cluster, step, self._now_ms)
         headroom = self._headroom.get(step.job.service, 0)
-        max_tasks = _max_tasks(self._cluster, step, headroom, self._now_ms)
+        max_tasks = tasks_beside_headroom(self._cluster, step, headroom, self._now_ms)
         chosen = self._place_on(step, claimed)
         if not chosen:
-            chosen = _place(self._cluster, step, groups, self._now_ms, max_tasks)
+            chosen = place_tasks(self._cluster, step, groups, self._now_ms, max_tasks)
         if chosen:
             self._assign(step, chosen, _placement_reason(step))
         elif step.idle_ms(self._now_ms) >= MAX_IDLE_MS:
@@ -263,13 +235,13 @@
         self, step: ReadyStep, groups: Sequence[WorkerGroup], claimed: Sequence[str]
     ) -> bool:
         """Wait for runs that end soon or preempt others, if the step may; return success."""
-        if step.isolated or not (step.entitled or _may_preempt(step, self._now_ms)):
+        if step.isolated or not (step.entitled or may_preempt(step, self._now_ms)):
             return False
         if claimed and self._claimed.renew(step, claimed, self._preemptible_runs):
             return True
         if self._wait_for_ends(step, groups):
             return True
-        max_lost_work = inf if step.entitled else _max_lost_work(step, self._now_ms)
+        max_lost_work = preemption_budget(step, self._now_ms)
         return self._reclaim(step, groups, max_lost_work)
 
     def _take_over(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
@@ -322,7 +294,7 @@
 
     def _wait_for_ends(self, step: ReadyStep, groups: Sequence[WorkerGroup]) -> bool:
         """Reserve what runs will soon free by themselves, instead of preempting; return success."""
-        max_wait_ms = _max_wait_ms(step, self._now_ms)
+        max_wait_ms = wait_before_preemption_ms(step, self._now_ms)
         if max_wait_ms <= 0:
             return False
         return reserve(
@@ -353,100 +325,7 @@
         )
 
 
-def _may_ever_fit(cluster: ClusterCapacity, step: ReadyStep) -> bool:
-    """Return whether a task of a step, or its gang, fits on the workers if they are idle."""
-    needed = len(step.waiting) if step.step.gang else 1
-    if cluster.has_last_resorts(step.job.service):
-        return True
-    return cluster.task_capacity(step, ALL_RACKS) >= needed
-
-
 def _placement_reason(step: ReadyStep) -> str:
     if step.isolated:
         return "isolated"
     return "entitled" if step.entitled else "tightest fit"
-
-
-def _may_preempt(step: ReadyStep, now_ms: int) -> bool:
-    """Return whether an urgent step without a guarantee may preempt: if its end is of use then.
-
-    What an organisation sends beyond its rate waits behind what others are owed.
-    """
-    if step.entitled or step.job.priority > 0 or step.beyond_owed:
-        return False
-    return now_ms + step.expected_ms <= step.expired_ms
-
-
-def _max_wait_ms(step: ReadyStep, now_ms: int) -> int:
-    """Return for how long a step waits for runs to end instead of preempting."""
-    waited_ms = now_ms - step.ready_ms
-    slack_ms = step.due_ms - now_ms - step.expected_ms
-    return min(MAX_WAIT_BEFORE_PREEMPTION_MS - waited_ms, slack_ms)
-
-
-def _max_lost_work(step: ReadyStep, now_ms: int) -> float:
-    """Return the work in core-seconds that preemption for the waiting tasks may lose."""
-    last_chance = now_ms + LAST_CHANCE_FACTOR * step.expected_ms > step.expired_ms
-    factor = LAST_CHANCE_LOST_WORK_FACTOR if last_chance else MAX_LOST_WORK_FACTOR
-    task_work = weighted_cores(step.step.demand) * step.expected_ms / 1_000
-    return factor * len(step.waiting) * task_work
-
-
-def _max_tasks(cluster: ClusterCapacity, step: ReadyStep, headroom: int, now_ms: int) -> int:
-    """Return how many tasks may be placed without using the headroom for urgent work."""
-    count = len(step.waiting)
-    needed = step.step.demand.accelerators
-    urgent = step.entitled or step.job.priority == 0
-    at_risk = now_ms + RISK_FACTOR * step.expected_ms > step.due_ms
-    if urgent or at_risk or needed == 0 or headroom == 0:
-        return count
-    allowed = max(0, cluster.idle_accelerators(step.job.service) - headroom) // needed
-    if allowed >= count:
-        return count
-    return 0 if step.step.gang else allowed
-
-
-def _place(
-    cluster: ClusterCapacity,
-    step: ReadyStep,
-    groups: Sequence[WorkerGroup],
-    now_ms: int,
-    count: int,
-) -> list[str]:
-    """Return workers for `count` waiting tasks: all or none of a gang, otherwise as many as fit."""
-    best: list[str] = []
-    if count == 0:
-        return best
-    best_reluctance: Reluctance = (inf, inf)
-    needed = step.step.demand.accelerators
-
-    def available(worker_id: str) -> Resources:
-        took_ms = int(step.expected_ms * cluster.slowdown(step, worker_id))
-        return cluster.available(worker_id, now_ms + took_ms)
-
-    for group in groups:
-        if len(best) == count and not _may_be_faster(cluster, step, group):
-            break
-        idle = cluster.idle_accelerators(step.job.service, group.rack)
-        if idle < needed * (count if step.step.gang else 1):
-            continue
-        members = cluster.members_with_accelerators(step, group)
-        chosen = pack(cluster, step, count, members, available)
-        if len(chosen) == count:
-            slowest = max(cluster.reluctance(step, each) for each in chosen)
-            if slowest < best_reluctance:
-                best, best_reluctance = chosen, slowest
-        elif len(chosen) > len(best) and not step.step.gang:
-            best = chosen
-    return best
-
-
-def _may_be_faster(cluster: ClusterCapacity, step: ReadyStep, group: WorkerGroup) -> bool:
-    """Return whether a step that fits elsewhere may be faster in this group.
-
-    A gang for one rack is as fast as its slowest worker, whichever rack it gets. Away from its data
-    or across racks it would take several times as long.
-    """
-    if cluster.is_even or group.rack is None:
-        return False
-    return step.step.gang and step.step.one_rack and not step.step.preferred_rack
