--- a/review/standins_3/fleet.py
+++ b/review/standins_3/fleet.py
@@ -22,6 +22,11 @@
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 KEY = "key-sousse"
 ROUTE_HOST = "nony24.example"
+REGIONS = {
+    "sousse-depot": "sahel-est",
+    "monastir-annex": "sahel-est",
+    "sfax-depot": "sud-sfax",
+}
 PREFIXES = {"urgent": "/lohu930/", "patient": "/bopu901/"}
 
 
@@ -133,7 +138,6 @@
         self,
         store_addresses: Sequence[str],
         zones: Sequence[str],
-        cores: Sequence[float],
     ) -> None:
         self._folder = Path(tempfile.mkdtemp(prefix="review-3-"))
         ports = _Ports()
@@ -149,15 +153,15 @@
                 "machine_class": "edge",
                 "serves": ["edge"],
                 "ip": HOST,
-                "zone": zones[number % len(zones)],
-                "region": "sahel-est",
-                "zones": dict.fromkeys(zones, "sahel-est"),
+                "zone": zones[number],
+                "region": REGIONS[zones[number]],
+                "zones": REGIONS,
                 "listen_addresses": {"front": front, "ready": ready},
                 "internal_port_range": [inner, inner],
                 "seeds": [],
                 "bootstrap": True,
                 "limits": {
-                    "cpu_share": cores[number] / 2,
+                    "cpu_share": 0.537,
                     "cores": 2,
                     "memory_mb": 300,
                     "file_descriptors": 4_100,
--- a/review/standins_3/scene.py
+++ b/review/standins_3/scene.py
@@ -10,12 +10,15 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from fleet import COULD_NOT_RUN, Caller, Fleet, configuration
+from fleet import COULD_NOT_RUN, REGIONS, Caller, Fleet, configuration
 from world import Link, Recorder, World
 
-ZONES = ["sousse-depot", "monastir-annex"]
+WORKER_ZONES = ["sousse-depot", "monastir-annex", "sfax-depot"]
 WORKERS = 24
-FULL_CORES = (1.074, 1.074, 1.074)
+NEAR_ZONES = ("sousse-depot", "monastir-annex", "sousse-depot")
+# One way between the regions; the store stands in the first one.
+REGION_DELAY_S = 0.02
+STORE_REGION = "sahel-est"
 # A script may take 120 s.
 MAX_CASE_S = 110.0
 # The platform sends traffic some seconds after it has started the machines.
@@ -34,15 +37,13 @@
     trouble: bool
 
 
-def run_case(
-    folder: Path, play: Callable[[Scene], int], cores: Sequence[float] = FULL_CORES
-) -> int:
-    """Play a case with one instance for each number of cores; return the exit status."""
+def run_case(folder: Path, play: Callable[[Scene], int], zones: Sequence[str] = NEAR_ZONES) -> int:
+    """Play a case with an instance in each of these zones; return the exit status."""
     recorder = Recorder()
-    world = World(recorder, ZONES, WORKERS)
+    world = World(recorder, WORKER_ZONES, WORKERS)
     world.configure(configuration(1))
-    links = [world.link() for _ in cores]
-    fleet = Fleet([each.address for each in links], ZONES, cores)
+    links = [world.link(0.0 if REGIONS[zone] == STORE_REGION else REGION_DELAY_S) for zone in zones]
+    fleet = Fleet([each.address for each in links], zones)
 
     def give_up() -> None:
         fleet.end()
--- a/review/standins_3/world.py
+++ b/review/standins_3/world.py
@@ -563,9 +563,9 @@
         """Write a configuration as the operator does."""
         self.call(self._put("keyed.op", "config", configuration))
 
-    def link(self) -> "Link":
-        """Return a new link to the store."""
-        made = Link(self)
+    def link(self, delay_s: float = 0.0) -> "Link":
+        """Return a new link to the store with a delay each way."""
+        made = Link(self, delay_s)
         self.call(made.start())
         return made
 
@@ -579,14 +579,15 @@
 
 
 class Link:
-    """A link between an instance and the store, which a case can cut.
+    """A link between an instance and the store, with a delay each way, which a case can cut.
 
     While it is cut, bytes are held up and delivered afterwards unless their connection has ended,
     and nothing is answered; new connections hang.
     """
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: World, delay_s: float) -> None:
         self._world = world
+        self._delay_s = delay_s
         self._server: asyncio.Server | None = None
         self._cut = False
         self.address = ""
@@ -616,6 +617,7 @@
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while data := await reader.read(65_536):
+                await asyncio.sleep(self._delay_s)
                 await self._healed()
                 writer.write(data)
                 await writer.drain()
