--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,59 +1,81 @@
-"""Jobs whose only start orders were refused are no longer counted as waiting."""
+"""A task that lasts is away for 13 s after its worker and the coordinator were lost at once."""
 
+import signal
 import sys
 import time
 from pathlib import Path
-from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins_3"))
 
-from fleet import BROKEN, COULD_NOT_RUN, HELD, PREFIXES, wait_for  # noqa: E402
-from scene import WORKERS, Scene, run_case  # noqa: E402
+from fleet import BROKEN, COULD_NOT_RUN, HELD, wait_for  # noqa: E402
+from scene import Scene, run_case  # noqa: E402
+from world import Recorder, Worker, World  # noqa: E402
 
-GREY_WORKERS = 2
-WAITING_JOBS = 3
-RUN_MS = 60_000
-VISIBLE_S = 3.0
-# The rule counts jobs that were accepted this long before, beyond `visible_ms`.
-COUNTED_S = 2.0
-MARGIN_S = 0.5
-STEP = {"count": 1, "cpu": 26_000, "requested_memory_mb": 8_192, "gpu": 8, "estimate_ms": RUN_MS}
+WATCHED_S = 20.0
+RESTART_AFTER_S = 0.5
+# A task that lasts may be away for 6 s after its last run, and then for less than 3 s.
+AWAY_S = 6.0
+IDLE_S = 3.0
+STEP = {
+    "count": 1,
+    "cpu": 5_600,
+    "requested_memory_mb": 16_384,
+    "gpu": 1,
+    "estimate_ms": 1_000,
+    "long_running": True,
+}
 
 
-def refuse_starts(operation: str, order: dict[str, Any]) -> int | None:
-    """Refuse start orders as an unhealthy worker does."""
-    return 503 if operation == "run-start" else None
+def worker_of(world: World, job: str) -> Worker | None:
+    """Return the worker that runs a task of a job."""
+    for worker in world.workers:
+        if worker.life is not None and any(task.startswith(job) for task, _ in worker.life.runs):
+            return worker
+    return None
 
 
 def play(scene: Scene) -> int:
-    """Fill all workers but two, which then refuse all starts, and hand in three more jobs."""
-    filling = WORKERS - GREY_WORKERS if scene.trouble else WORKERS
-    work = {"run_ms": RUN_MS}
-    for _ in range(filling):
-        if not scene.caller.submit("patient", [STEP], work):
-            return COULD_NOT_RUN
-    if not wait_for(lambda: len(scene.recorder.of("start")) >= filling, 15):
+    """Let the worker of the task vanish for good, and kill the coordinator at the same moment."""
+    world, recorder = scene.world, scene.recorder
+    job = scene.caller.submit("patient", [STEP], {"run_ms": 600_000})
+    if not job or not wait_for(lambda: worker_of(world, job) is not None, 10):
         return COULD_NOT_RUN
+    time.sleep(3)
     if scene.trouble:
-        for worker in scene.world.workers:
-            if worker.life is not None and not worker.life.runs:
-                worker.refuse = refuse_starts
-    jobs = [scene.caller.submit("patient", [STEP], work) for _ in range(WAITING_JOBS)]
-    if not all(jobs):
-        return COULD_NOT_RUN
-    time.sleep(VISIBLE_S + COUNTED_S + MARGIN_S)
-    result = HELD
-    for instance in scene.fleet.instances:
-        status, answer = scene.caller.send(instance, "GET", PREFIXES["patient"])
-        begun = {fields["task"].partition(".")[0] for _, _, fields in scene.recorder.of("start")}
-        waiting = sum(job not in begun for job in jobs)
-        if status == 200 and 2 * answer["waiting"] < waiting:
-            scene.recorder.add(
-                "rule_broken", rule="MIXED", by=instance.name, waiting=waiting, answer=answer
-            )
-            result = BROKEN
-    return result
+        worker, coordinator = worker_of(world, job), scene.fleet.coordinator()
+        if worker is None or coordinator is None:
+            return COULD_NOT_RUN
+        recorder.add("coordinator_killed", name=coordinator.name)
+        coordinator.signal(signal.SIGKILL)
+        world.vanish(worker)
+        time.sleep(RESTART_AFTER_S)
+        coordinator.end()
+        coordinator.start()
+        recorder.add("coordinator_restarted", name=coordinator.name)
+    time.sleep(WATCHED_S)
+    scene.caller.state("patient", job)
+    away_s = longest_absence(recorder, job)
+    if away_s > AWAY_S + IDLE_S:
+        recorder.add("rule_broken", rule="LOST", job=job, away_s=f"{away_s:.1f}")
+        return BROKEN
+    return HELD
+
+
+def longest_absence(recorder: Recorder, job: str) -> float:
+    """Return for how long in seconds the task was not at work after a run had ended."""
+    longest = 0.0
+    ended: float | None = None
+    for at, kind, fields in recorder.of("start", "end"):
+        if not fields["task"].startswith(job):
+            continue
+        if kind == "end":
+            ended = at
+            continue
+        if ended is not None:
+            longest = max(longest, at - ended)
+        ended = None
+    return longest if ended is None else max(longest, recorder.now() - ended)
 
 
 if __name__ == "__main__":
